fleet: Serve completions and plain services end to end

Cause: the repository was empty; nothing answered a caller. Change: entry, coordinator and operator's tool as separate processes over nng and HTTP, with membership, keepers of request claims, slots granted by one coordinator for each group, and stand-ins for engine, service, key-value service and host list. No automated test yet; batch hosts are not there yet.

--- /dev/null
+++ b/source/coordinator/coordinator_node.cpp
@@ -0,0 +1,431 @@
+#include "coordinator/coordinator_node.hpp"
+
+#include <algorithm>
+#include <future>
+
+#include "core/claims/keeper_change.hpp"
+#include "core/members/rendezvous.hpp"
+#include "logging/event.hpp"
+
+namespace amaranthhatch::coordinator
+{
+
+namespace
+{
+
+namespace messages = core::messages;
+
+using messages::message_kind;
+
+constexpr core::milliseconds probe_interval{300};
+constexpr core::milliseconds tick_interval{50};
+constexpr core::milliseconds slow_tick_interval{200};
+constexpr core::milliseconds hosts_interval{1000};
+constexpr core::milliseconds fetch_limit{1000};
+constexpr core::milliseconds join_delay{1500};
+constexpr core::milliseconds leave_time{300};
+constexpr std::size_t watchers_per_zone = 2;
+
+// Waiting slot requests never take all of these, so that probes and claims
+// always find room.
+constexpr unsigned open_requests = 640;
+
+messages::member own_member(const coordinator_settings& settings,
+                            const std::string& boot)
+{
+    messages::member self;
+    self.name = settings.node.name;
+    self.zone = settings.node.zone;
+    self.region = settings.node.region;
+    self.address = settings.listen;
+    self.does = messages::role::coordinator;
+    // A restarted process must be believed over the news of its own death.
+    self.incarnation = static_cast<std::uint64_t>(control::unix_now_ms());
+    self.boot = boot;
+    return self;
+}
+
+core::milliseconds since_boot()
+{
+    return control::monotonic_now();
+}
+
+} // namespace
+
+const coordinator_node::route coordinator_node::routes[] = {
+    {message_kind::ping, &coordinator_node::on_ping},
+    {message_kind::ping_request, &coordinator_node::on_ping_request},
+    {message_kind::view_request, &coordinator_node::on_view_request},
+    {message_kind::configuration_request,
+     &coordinator_node::on_configuration_request},
+    {message_kind::status_request, &coordinator_node::on_status_request},
+    {message_kind::want_slot, &coordinator_node::on_want_slot},
+    {message_kind::slot_report, &coordinator_node::on_slot_report},
+    {message_kind::await_yield, &coordinator_node::on_await_yield},
+    {message_kind::endpoints_request, &coordinator_node::on_endpoints_request},
+    {message_kind::claim_request, &coordinator_node::on_claim_request},
+    {message_kind::claim_release, &coordinator_node::on_claim_release},
+    {message_kind::claim_copy_request,
+     &coordinator_node::on_claim_copy_request},
+};
+
+coordinator_settings read_settings(settings::document& from)
+{
+    using std::chrono::hours;
+    using std::chrono::milliseconds;
+    using std::chrono::seconds;
+    coordinator_settings read;
+    read.node = process::read_node(from);
+    read.listen = from.address("coordinator.listen");
+    read.metrics = from.address("coordinator.metrics");
+    read.peers = from.addresses("coordinator.peers");
+    read.store = from.address("store.address");
+    read.hosts = from.address("hosts.address");
+    read.claims.window = from.duration_or("claims.window", read.claims.window,
+                                          {seconds(5), hours(24)});
+    read.claims.capacity = static_cast<std::size_t>(
+        from.number_or("claims.capacity", 200'000, {100, 10'000'000}));
+    read.slots.queue_limit = static_cast<std::size_t>(
+        from.number_or("slots.queue_limit", 384, {1, 512}));
+    read.slots.concurrency.initial = static_cast<std::uint32_t>(
+        from.number_or("slots.initial_concurrency", 16, {1, 1024}));
+    read.slots.concurrency.most = static_cast<std::uint32_t>(
+        from.number_or("slots.most_concurrency", 256, {1, 4096}));
+    std::string order = from.text_or("slots.order", "short_first");
+    read.slots.order = core::slots::find_queue_order(order);
+    if (read.slots.order == nullptr)
+        from.refuse("slots.order", "must be \"short_first\" or \"first_come\"");
+    from.finish();
+    return read;
+}
+
+coordinator_node::coordinator_node(coordinator_settings settings,
+                                   platform::key_value_store& store,
+                                   platform::host_list& hosts,
+                                   metrics::registry& metrics,
+                                   net::rpc_client& peers)
+    : settings(std::move(settings)), boot(process::random_text()), store(store),
+      hosts(hosts), metrics(metrics), peers(peers),
+      members(
+          core::members::member_table(own_member(this->settings, this->boot),
+                                      {}, process::random_number()),
+          this->settings.peers, this->loop, peers, metrics,
+          [this](const std::string& address) { this->fetch_newer(address); }),
+      keepers(core::claims::claim_keeper(this->settings.node.name, this->boot,
+                                         this->settings.claims,
+                                         control::monotonic_now()),
+              this->settings.node.name, this->loop, peers, metrics),
+      slots(this->settings.slots, metrics), watcher(store, *this)
+{
+    this->loop.run_every(probe_interval, [this] { this->members.probe(); });
+    this->loop.run_every(tick_interval, [this]
+                         { this->slots.tick(control::monotonic_now()); });
+    this->loop.run_every(slow_tick_interval,
+                         [this]
+                         {
+                             auto now = control::monotonic_now();
+                             this->members.tick(now);
+                             this->keepers.tick(now);
+                             this->choose_watchers();
+                         });
+}
+
+coordinator_node::~coordinator_node()
+{
+    this->stopping = true;
+    if (this->hosts_thread.joinable())
+        this->hosts_thread.join();
+    this->loop.stop();
+}
+
+void coordinator_node::start()
+{
+    this->loop.start();
+    this->server = std::make_unique<net::rpc_server>(
+        this->settings.listen, open_requests,
+        [this](std::string_view frame, net::reply_handle reply)
+        { this->received(frame, std::move(reply)); });
+    this->watcher.start();
+    this->hosts_thread = std::thread([this] { this->poll_hosts(); });
+    logging::event(logging::level::info, "started")
+        .with("listen", this->settings.listen);
+}
+
+void coordinator_node::drain()
+{
+    logging::event(logging::level::info, "draining");
+    this->loop.post([this] { this->members.leave(); });
+    std::this_thread::sleep_for(leave_time);
+}
+
+void coordinator_node::received(std::string_view frame, net::reply_handle reply)
+{
+    // The handle is shared, since std::function needs copyable work.
+    auto held = std::make_shared<net::reply_handle>(std::move(reply));
+    this->loop.post([this, copy = std::string(frame), held]
+                    { this->dispatch(copy, *held); });
+}
+
+void coordinator_node::dispatch(const std::string& frame,
+                                net::reply_handle& reply)
+{
+    auto kind = net::kind_of(frame);
+    for (const auto& one : routes)
+    {
+        if (one.kind != kind)
+            continue;
+        try
+        {
+            (this->*one.handle)(frame, reply);
+        }
+        catch (const net::codec_error&)
+        {
+            this->metrics.count("hatch_frames_dropped_total", "reason",
+                                "malformed");
+        }
+        return;
+    }
+    this->metrics.count("hatch_frames_dropped_total", "reason", "unknown_kind");
+}
+
+void coordinator_node::on_ping(std::string_view frame, net::reply_handle& reply)
+{
+    auto request = net::decode<messages::ping>(frame);
+    reply.send(
+        net::encode(this->members.ping(control::monotonic_now(), request)));
+}
+
+void coordinator_node::on_ping_request(std::string_view frame,
+                                       net::reply_handle& reply)
+{
+    auto request = net::decode<messages::ping_request>(frame);
+    auto held = std::make_shared<net::reply_handle>(std::move(reply));
+    this->members.probe_for(request,
+                            [held](bool reached)
+                            {
+                                messages::pong answer;
+                                answer.reached = reached;
+                                held->send(net::encode(answer));
+                            });
+}
+
+void coordinator_node::on_view_request(std::string_view frame,
+                                       net::reply_handle& reply)
+{
+    auto request = net::decode<messages::view_request>(frame);
+    this->members.heard(control::monotonic_now(), request.sender);
+    const auto& table = this->members.table();
+    const auto& history = this->keepers.state().history();
+    messages::view_answer answer;
+    answer.digest = table.digest();
+    answer.revision = this->configuration.revision();
+    if (request.known_digest != answer.digest)
+        answer.members = table.all();
+    if (request.known_generation != history.current.generation)
+        answer.keepers = history;
+    reply.send(net::encode(answer));
+}
+
+void coordinator_node::on_configuration_request(std::string_view frame,
+                                                net::reply_handle& reply)
+{
+    auto request = net::decode<messages::configuration_request>(frame);
+    const auto& history = this->keepers.state().history();
+    messages::configuration_answer answer;
+    answer.revision = this->configuration.revision();
+    if (answer.revision > request.above_revision)
+        answer.text = this->configuration.text();
+    if (history.current.generation > request.above_generation)
+        answer.keepers = history;
+    reply.send(net::encode(answer));
+}
+
+void coordinator_node::on_status_request(std::string_view frame,
+                                         net::reply_handle& reply)
+{
+    auto request = net::decode<messages::status_request>(frame);
+    messages::status_answer answer;
+    answer.name = this->settings.node.name;
+    answer.revision = this->configuration.revision();
+    answer.generation = this->keepers.state().history().current.generation;
+    answer.store_reachable = this->watcher.reachable();
+    answer.members = this->members.everyone();
+    if (request.with_endpoints)
+        answer.endpoints = this->slots.status();
+    reply.send(net::encode(answer));
+}
+
+void coordinator_node::on_want_slot(std::string_view frame,
+                                    net::reply_handle& reply)
+{
+    auto request = net::decode<messages::want_slot>(frame);
+    this->slots.want(control::monotonic_now(), request, std::move(reply));
+}
+
+void coordinator_node::on_slot_report(std::string_view frame,
+                                      net::reply_handle& reply)
+{
+    auto told = net::decode<messages::slot_report>(frame);
+    this->slots.report(control::monotonic_now(), told, std::move(reply));
+}
+
+void coordinator_node::on_await_yield(std::string_view frame,
+                                      net::reply_handle& reply)
+{
+    auto request = net::decode<messages::await_yield>(frame);
+    this->slots.await_yield(control::monotonic_now(), request,
+                            std::move(reply));
+}
+
+void coordinator_node::on_endpoints_request(std::string_view frame,
+                                            net::reply_handle& reply)
+{
+    auto request = net::decode<messages::endpoints_request>(frame);
+    this->slots.endpoints(request, std::move(reply));
+}
+
+void coordinator_node::on_claim_request(std::string_view frame,
+                                        net::reply_handle& reply)
+{
+    auto request = net::decode<messages::claim_request>(frame);
+    reply.send(
+        net::encode(this->keepers.ask(control::monotonic_now(), request)));
+}
+
+void coordinator_node::on_claim_release(std::string_view frame,
+                                        net::reply_handle&)
+{
+    this->keepers.release(net::decode<messages::claim_release>(frame));
+}
+
+void coordinator_node::on_claim_copy_request(std::string_view frame,
+                                             net::reply_handle& reply)
+{
+    auto request = net::decode<messages::claim_copy_request>(frame);
+    reply.send(
+        net::encode(this->keepers.copy(control::monotonic_now(), request)));
+}
+
+void coordinator_node::adopt(std::uint64_t revision, std::string_view text,
+                             const messages::keeper_history& history)
+{
+    if (!text.empty() && this->configuration.adopt(revision, text))
+    {
+        logging::event(logging::level::info, "configuration_adopted")
+            .with("revision", static_cast<std::int64_t>(revision));
+        this->metrics.set("hatch_configuration_revision",
+                          static_cast<double>(revision));
+    }
+    if (history.current.generation > 0)
+        this->keepers.adopt(history);
+    this->members.set_versions(
+        this->configuration.revision(),
+        this->keepers.state().history().current.generation);
+}
+
+void coordinator_node::found_configuration(const stored_configuration& value)
+{
+    this->loop.post([this, value]
+                    { this->adopt(value.revision, value.text, {}); });
+}
+
+void coordinator_node::found_keepers(const messages::keeper_history& value)
+{
+    this->loop.post([this, value] { this->adopt(0, {}, value); });
+}
+
+messages::keeper_history
+coordinator_node::wanted_keepers(const messages::keeper_history& stored)
+{
+    // Nodes that start together are given time to hear of each other, so that
+    // one change of generation adds them all.
+    if (since_boot() < join_delay)
+        return {};
+    std::promise<messages::keeper_history> decided;
+    this->loop.post(
+        [&]
+        {
+            const auto& known = this->keepers.state().history();
+            const auto& base =
+                known.current.generation > stored.current.generation ? known
+                                                                     : stored;
+            auto added =
+                core::claims::keepers_to_add(base, this->members.table().all());
+            bool full = base.earlier.size() >= core::claims::history_limit;
+            auto now = control::monotonic_now();
+            auto may_drop = [&](const messages::keeper_set& set)
+            { return this->keepers.state().may_drop(now, set); };
+            if (added.empty() || full)
+                decided.set_value({});
+            else
+                decided.set_value(core::claims::with_keepers(
+                    base, added, control::unix_now_ms(), may_drop));
+        });
+    return decided.get_future().get();
+}
+
+void coordinator_node::fetch_newer(const std::string& address)
+{
+    if (this->fetching)
+        return;
+    this->fetching = true;
+    messages::configuration_request request{
+        this->configuration.revision(),
+        this->keepers.state().history().current.generation};
+    this->peers.post(address, net::encode(request), fetch_limit,
+                     [this](std::optional<std::string> frame)
+                     {
+                         auto answer =
+                             net::decode_answer<messages::configuration_answer>(
+                                 frame);
+                         this->loop.post(
+                             [this, answer]
+                             {
+                                 this->fetching = false;
+                                 if (answer)
+                                     this->adopt(answer->revision, answer->text,
+                                                 answer->keepers);
+                             });
+                     });
+}
+
+void coordinator_node::choose_watchers()
+{
+    std::vector<messages::member> zone;
+    for (const auto& one : this->members.table().all())
+    {
+        if (one.zone == this->settings.node.zone &&
+            one.does == messages::role::coordinator &&
+            one.state == messages::liveness::alive)
+            zone.push_back(one);
+    }
+    auto ordered = core::members::rendezvous_order(shared_prefix, zone);
+    auto end = ordered.begin() +
+               static_cast<long>(std::min(ordered.size(), watchers_per_zone));
+    bool watch = std::any_of(ordered.begin(), end,
+                             [this](const auto& one)
+                             { return one.name == this->settings.node.name; });
+    this->watcher.set_watching(watch);
+}
+
+void coordinator_node::poll_hosts()
+{
+    constexpr core::milliseconds step{50};
+    while (!this->stopping)
+    {
+        auto listed = this->hosts.read();
+        this->metrics.count("hatch_host_list_reads_total", "result",
+                            listed ? "read" : "unreachable");
+        if (listed)
+            this->loop.post(
+                [this, endpoints = *listed] {
+                    this->slots.set_endpoints(control::monotonic_now(),
+                                              endpoints);
+                });
+        for (core::milliseconds slept{0};
+             slept < hosts_interval && !this->stopping; slept += step)
+            std::this_thread::sleep_for(step);
+    }
+}
+
+} // namespace amaranthhatch::coordinator
--- /dev/null
+++ b/source/coordinator/coordinator_node.hpp
@@ -0,0 +1,113 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "control/control_loop.hpp"
+#include "coordinator/keeper_service.hpp"
+#include "coordinator/member_service.hpp"
+#include "coordinator/shared_watcher.hpp"
+#include "coordinator/slot_service.hpp"
+#include "core/configuration/revision_register.hpp"
+#include "metrics/registry.hpp"
+#include "net/codec.hpp"
+#include "net/rpc_client.hpp"
+#include "net/rpc_server.hpp"
+#include "platform/host_list.hpp"
+#include "platform/key_value_store.hpp"
+#include "process/program.hpp"
+
+namespace amaranthhatch::coordinator
+{
+
+/// @brief Settings of a coordinator.
+struct coordinator_settings
+{
+    process::node_settings node;
+    std::string listen;
+    std::string metrics;
+    std::vector<std::string> peers;
+    std::string store;
+    std::string hosts;
+    core::claims::claim_options claims;
+    core::slots::scheduler_options slots;
+};
+
+/// @brief Reads and checks a coordinator's settings file.
+coordinator_settings read_settings(settings::document& from);
+
+/// @brief A coordinator process: membership, configuration, slots and claims.
+class coordinator_node : private shared_state_owner
+{
+  public:
+    coordinator_node(coordinator_settings settings,
+                     platform::key_value_store& store,
+                     platform::host_list& hosts, metrics::registry& metrics,
+                     net::rpc_client& peers);
+    ~coordinator_node() override;
+
+    void start();
+
+    /// @brief Says goodbye to the other members and answers what is open.
+    void drain();
+
+  private:
+    using handler = void (coordinator_node::*)(std::string_view frame,
+                                               net::reply_handle& reply);
+    struct route
+    {
+        core::messages::message_kind kind;
+        handler handle;
+    };
+    static const route routes[];
+
+    void received(std::string_view frame, net::reply_handle reply);
+    void dispatch(const std::string& frame, net::reply_handle& reply);
+
+    void on_ping(std::string_view frame, net::reply_handle& reply);
+    void on_ping_request(std::string_view frame, net::reply_handle& reply);
+    void on_view_request(std::string_view frame, net::reply_handle& reply);
+    void on_configuration_request(std::string_view frame,
+                                  net::reply_handle& reply);
+    void on_status_request(std::string_view frame, net::reply_handle& reply);
+    void on_want_slot(std::string_view frame, net::reply_handle& reply);
+    void on_slot_report(std::string_view frame, net::reply_handle& reply);
+    void on_await_yield(std::string_view frame, net::reply_handle& reply);
+    void on_endpoints_request(std::string_view frame, net::reply_handle& reply);
+    void on_claim_request(std::string_view frame, net::reply_handle& reply);
+    void on_claim_release(std::string_view frame, net::reply_handle& reply);
+    void on_claim_copy_request(std::string_view frame,
+                               net::reply_handle& reply);
+
+    void found_configuration(const stored_configuration& value) override;
+    void found_keepers(const core::messages::keeper_history& value) override;
+    core::messages::keeper_history
+    wanted_keepers(const core::messages::keeper_history& stored) override;
+
+    void adopt(std::uint64_t revision, std::string_view text,
+               const core::messages::keeper_history& keepers);
+    void fetch_newer(const std::string& address);
+    void choose_watchers();
+    void poll_hosts();
+
+    coordinator_settings settings;
+    std::string boot;
+    platform::key_value_store& store;
+    platform::host_list& hosts;
+    metrics::registry& metrics;
+    net::rpc_client& peers;
+    control::control_loop loop;
+    core::configuration::revision_register configuration;
+    member_service members;
+    keeper_service keepers;
+    slot_service slots;
+    shared_watcher watcher;
+    bool fetching = false;
+    std::atomic<bool> stopping{false};
+    std::thread hosts_thread;
+    std::unique_ptr<net::rpc_server> server;
+};
+
+} // namespace amaranthhatch::coordinator
--- /dev/null
+++ b/source/coordinator/shared_watcher.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+#include "coordinator/shared_state.hpp"
+#include "core/messages/members.hpp"
+#include "platform/key_value_store.hpp"
+
+namespace amaranthhatch::coordinator
+{
+
+/// @brief What the watcher asks of the control state, from its own thread.
+class shared_state_owner
+{
+  public:
+    virtual ~shared_state_owner() = default;
+
+    virtual void found_configuration(const stored_configuration& value) = 0;
+    virtual void found_keepers(const core::messages::keeper_history& value) = 0;
+
+    /// @brief The history to write where keepers have to be added, else one
+    /// with generation zero.
+    virtual core::messages::keeper_history
+    wanted_keepers(const core::messages::keeper_history& stored) = 0;
+};
+
+/// @brief Watches the configuration and the keepers in the platform's service.
+///
+/// Only a few nodes of each zone watch; every node reads once at its start and
+/// writes when keepers have to be added. In an outage it tries on, slowly.
+class shared_watcher
+{
+  public:
+    shared_watcher(platform::key_value_store& store, shared_state_owner& owner);
+    ~shared_watcher();
+
+    void start();
+
+    /// @brief Whether this node is one of those that watch.
+    void set_watching(bool watching) { this->watching = watching; }
+
+    bool reachable() const { return this->store_reachable; }
+
+  private:
+    void run();
+    void take(const platform::store_entry& entry);
+    void add_keepers();
+    void sleep(std::chrono::milliseconds time) const;
+
+    platform::key_value_store& store;
+    shared_state_owner& owner;
+    std::atomic<bool> watching{true};
+    std::atomic<bool> stopping{false};
+    std::atomic<bool> store_reachable{false};
+    std::uint64_t seen_revision = 0;
+    platform::store_entry keepers_entry;
+    std::thread thread;
+};
+
+} // namespace amaranthhatch::coordinator
--- /dev/null
+++ b/source/coordinator/slot_service.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/instant.hpp"
+#include "core/messages/slots.hpp"
+#include "core/slots/slot_scheduler.hpp"
+#include "metrics/registry.hpp"
+#include "net/rpc_server.hpp"
+#include "platform/host_list.hpp"
+
+namespace amaranthhatch::coordinator
+{
+
+/// @brief The name of the group of a model's or service's endpoints in a
+/// region.
+std::string group_name(std::string_view serves, std::string_view region);
+
+/// @brief Schedules the groups this coordinator is asked about.
+///
+/// Runs on the control thread. A reply handle is kept for each waiting asker.
+class slot_service
+{
+  public:
+    slot_service(core::slots::scheduler_options options,
+                 metrics::registry& metrics);
+
+    void set_endpoints(core::instant now,
+                       const std::vector<platform::listed_endpoint>& listed);
+    void want(core::instant now, const core::messages::want_slot& request,
+              net::reply_handle reply);
+    void report(core::instant now, const core::messages::slot_report& told,
+                net::reply_handle reply);
+    void await_yield(core::instant now,
+                     const core::messages::await_yield& request,
+                     net::reply_handle reply);
+    void endpoints(const core::messages::endpoints_request& request,
+                   net::reply_handle reply) const;
+    void tick(core::instant now);
+
+    std::vector<core::messages::endpoint_status> status() const;
+
+  private:
+    struct yield_waiter
+    {
+        std::unique_ptr<net::reply_handle> reply;
+        core::instant end{};
+        std::vector<std::uint64_t> tickets;
+    };
+
+    core::slots::slot_scheduler* find(const std::string& group);
+    void send_output(core::slots::slot_scheduler& from);
+    void send_yields();
+
+    core::slots::scheduler_options options;
+    metrics::registry& metrics;
+    std::map<std::string, core::slots::slot_scheduler, std::less<>> groups;
+    std::map<core::slots::waiter, net::reply_handle> waiters;
+    core::slots::waiter next_waiter = 1;
+    std::map<std::string, yield_waiter, std::less<>> yields;
+};
+
+} // namespace amaranthhatch::coordinator
--- /dev/null
+++ b/source/core/health/progress_window.cpp
@@ -0,0 +1,37 @@
+#include "core/health/progress_window.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace amaranthhatch::core::health
+{
+
+namespace
+{
+
+constexpr double half_life_ms = 250;
+
+} // namespace
+
+void progress_window::add(instant now, double added_tokens, double added_ms)
+{
+    double age = static_cast<double>((now - this->updated).count());
+    double kept = std::exp2(-std::max(age, 0.0) / half_life_ms);
+    this->tokens = this->tokens * kept + added_tokens;
+    this->stream_ms = this->stream_ms * kept + added_ms;
+    this->updated = now;
+}
+
+double progress_window::gap_ms() const
+{
+    // Half a token stands for the one that is under way.
+    return this->stream_ms / (this->tokens + 0.5);
+}
+
+void progress_window::clear()
+{
+    this->tokens = 0;
+    this->stream_ms = 0;
+}
+
+} // namespace amaranthhatch::core::health
--- /dev/null
+++ b/source/core/health/slowness_judge.cpp
@@ -0,0 +1,158 @@
+#include "core/health/slowness_judge.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace amaranthhatch::core::health
+{
+
+namespace
+{
+
+constexpr unsigned failures_to_set_aside = 2;
+constexpr double tokens_to_return = 4;
+
+} // namespace
+
+slowness_judge::slowness_judge(judge_options options) : options(options) {}
+
+void slowness_judge::set_endpoints(std::span<const std::string> names)
+{
+    std::set<std::string, std::less<>> listed(names.begin(), names.end());
+    std::erase_if(this->records, [&](const auto& entry)
+                  { return !listed.contains(entry.first); });
+    for (const auto& name : names)
+        this->records.try_emplace(name);
+}
+
+void slowness_judge::progress(instant now, std::string_view name, double tokens,
+                              double stream_ms)
+{
+    auto found = this->records.find(name);
+    if (found == this->records.end())
+        return;
+    found->second.window.add(now, tokens, stream_ms);
+    if (tokens > 0)
+        found->second.failures = 0;
+    this->judge(now, found->first, found->second);
+}
+
+void slowness_judge::failed(instant now, std::string_view name)
+{
+    auto found = this->records.find(name);
+    if (found == this->records.end())
+        return;
+    record& held = found->second;
+    ++held.failures;
+    if (held.aside || held.failures < failures_to_set_aside ||
+        !this->room_aside())
+        return;
+    held.aside = true;
+    held.since = now;
+    held.probed = now;
+    held.window.clear();
+}
+
+bool slowness_judge::room_aside() const
+{
+    auto count = static_cast<double>(this->aside().size());
+    auto total = static_cast<double>(this->records.size());
+    return count + 1 <= total * this->options.most_aside_share;
+}
+
+void slowness_judge::judge(instant now, const std::string& name, record& held)
+{
+    double median = this->median_gap_ms();
+    if (median <= 0)
+        return;
+    double gap = held.window.gap_ms();
+    if (!held.aside)
+    {
+        bool slow =
+            gap > median * this->options.slow_factor &&
+            held.window.evidence_ms() >= this->options.least_evidence_ms;
+        if (!slow || !this->room_aside())
+            return;
+        held.aside = true;
+        held.since = now;
+        held.probed = now;
+        held.window.clear();
+        return;
+    }
+    bool rested = now - held.since >= this->options.least_aside;
+    bool healthy = held.window.recent_tokens() >= tokens_to_return &&
+                   gap < median * this->options.healthy_factor;
+    if (!rested || !healthy)
+        return;
+    held.aside = false;
+    held.failures = 0;
+    this->returned.push_back(name);
+}
+
+bool slowness_judge::is_aside(std::string_view name) const
+{
+    auto found = this->records.find(name);
+    return found != this->records.end() && found->second.aside;
+}
+
+bool slowness_judge::probe_due(instant now, std::string_view name) const
+{
+    auto found = this->records.find(name);
+    if (found == this->records.end() || !found->second.aside)
+        return false;
+    const record& held = found->second;
+    return now - held.since >= this->options.least_aside &&
+           now - held.probed >= this->options.probe_interval;
+}
+
+void slowness_judge::probed(instant now, std::string_view name)
+{
+    auto found = this->records.find(name);
+    if (found != this->records.end())
+        found->second.probed = now;
+}
+
+double slowness_judge::gap_ms(std::string_view name) const
+{
+    auto found = this->records.find(name);
+    bool known =
+        found != this->records.end() && found->second.window.evidence_ms() > 0;
+    return known ? found->second.window.gap_ms() : 0;
+}
+
+double slowness_judge::median_gap_ms() const
+{
+    std::vector<double> gaps;
+    for (const auto& [name, held] : this->records)
+    {
+        bool counts = !held.aside && held.window.evidence_ms() >=
+                                         this->options.least_evidence_ms;
+        if (counts)
+            gaps.push_back(held.window.gap_ms());
+    }
+    // One endpoint alone has nothing to be compared with.
+    if (gaps.size() < 2)
+        return 0;
+    // The lower median: of two endpoints the faster one is the measure.
+    auto middle = gaps.begin() + static_cast<long>((gaps.size() - 1) / 2);
+    std::nth_element(gaps.begin(), middle, gaps.end());
+    return *middle;
+}
+
+std::vector<std::string> slowness_judge::aside() const
+{
+    std::vector<std::string> names;
+    for (const auto& [name, held] : this->records)
+    {
+        if (held.aside)
+            names.push_back(name);
+    }
+    return names;
+}
+
+std::vector<std::string> slowness_judge::take_returned()
+{
+    return std::exchange(this->returned, {});
+}
+
+} // namespace amaranthhatch::core::health
--- /dev/null
+++ b/source/core/instant.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace amaranthhatch::core
+{
+
+/// @brief A span of time in whole milliseconds.
+using milliseconds = std::chrono::milliseconds;
+
+/// @brief A point on one process's monotonic clock, counted from its start.
+///
+/// The core never reads a clock; every call that needs the time is given it.
+using instant = std::chrono::milliseconds;
+
+} // namespace amaranthhatch::core
--- /dev/null
+++ b/source/core/members/rendezvous.cpp
@@ -0,0 +1,88 @@
+#include "core/members/rendezvous.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/hash.hpp"
+
+namespace amaranthhatch::core::members
+{
+
+namespace
+{
+
+constexpr std::size_t keepers_per_key = 3;
+
+template <typename Named>
+std::vector<Named> order(std::string_view key, std::span<const Named> all)
+{
+    std::uint64_t seed = hash(key);
+    std::vector<std::pair<std::uint64_t, std::size_t>> ranked;
+    ranked.reserve(all.size());
+    for (std::size_t index = 0; index < all.size(); ++index)
+        ranked.emplace_back(hash(all[index].name, seed), index);
+    std::sort(ranked.rbegin(), ranked.rend());
+    std::vector<Named> ordered;
+    ordered.reserve(all.size());
+    for (const auto& [weight, index] : ranked)
+        ordered.push_back(all[index]);
+    return ordered;
+}
+
+bool holds_zone(std::span<const messages::keeper> chosen, std::string_view zone)
+{
+    return std::any_of(chosen.begin(), chosen.end(),
+                       [&](const auto& one) { return one.zone == zone; });
+}
+
+} // namespace
+
+std::vector<messages::member>
+rendezvous_order(std::string_view key,
+                 std::span<const messages::member> members)
+{
+    return order(key, members);
+}
+
+std::vector<messages::member>
+homes_of(std::string_view group, std::string_view region,
+         std::span<const messages::member> members)
+{
+    std::vector<messages::member> candidates;
+    for (const auto& one : members)
+    {
+        bool usable = one.does == messages::role::coordinator &&
+                      (one.state == messages::liveness::alive ||
+                       one.state == messages::liveness::suspect);
+        if (usable)
+            candidates.push_back(one);
+    }
+    auto ordered = order<messages::member>(group, candidates);
+    std::stable_partition(ordered.begin(), ordered.end(),
+                          [&](const auto& one)
+                          { return one.region == region; });
+    return ordered;
+}
+
+std::vector<messages::keeper> keepers_of(std::string_view key,
+                                         const messages::keeper_set& keepers)
+{
+    auto ordered = order<messages::keeper>(key, keepers.keepers);
+    std::vector<messages::keeper> chosen;
+    for (const auto& one : ordered)
+    {
+        if (chosen.size() < keepers_per_key && !holds_zone(chosen, one.zone))
+            chosen.push_back(one);
+    }
+    // Fewer zones than keepers: the rest come in hash order from any zone.
+    for (const auto& one : ordered)
+    {
+        bool taken =
+            std::find(chosen.begin(), chosen.end(), one) != chosen.end();
+        if (chosen.size() < keepers_per_key && !taken)
+            chosen.push_back(one);
+    }
+    return chosen;
+}
+
+} // namespace amaranthhatch::core::members
--- /dev/null
+++ b/source/core/messages/members.hpp
@@ -0,0 +1,213 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "core/messages/message_kind.hpp"
+
+namespace amaranthhatch::core::messages
+{
+
+/// @brief What a member process does.
+enum class role : std::uint8_t
+{
+    coordinator,
+    batch,
+    entry
+};
+
+/// @brief What the membership protocol believes of a member.
+enum class liveness : std::uint8_t
+{
+    alive,
+    suspect,
+    dead,
+    left
+};
+
+/// @brief One member as told from node to node.
+struct member
+{
+    std::string name;
+    std::string zone;
+    std::string region;
+    std::string address;
+    role does = role::coordinator;
+    liveness state = liveness::alive;
+    std::uint64_t incarnation = 0;
+    std::uint64_t revision = 0;
+    /// Drawn at each start; tells a restarted process from a paused one.
+    std::string boot;
+
+    auto fields()
+    {
+        return std::tie(name, zone, region, address, does, state, incarnation,
+                        revision, boot);
+    }
+};
+
+/// @brief A keeper of request claims, fixed for one generation.
+struct keeper
+{
+    std::string name;
+    std::string zone;
+    std::string address;
+    std::string boot;
+
+    auto fields() { return std::tie(name, zone, address, boot); }
+    bool operator==(const keeper&) const = default;
+};
+
+/// @brief The keepers of one generation.
+struct keeper_set
+{
+    std::uint64_t generation = 0;
+    std::int64_t settled_unix_ms = 0;
+    std::vector<keeper> keepers;
+
+    auto fields() { return std::tie(generation, settled_unix_ms, keepers); }
+};
+
+/// @brief The current generation and those still inside the claim window.
+struct keeper_history
+{
+    keeper_set current;
+    std::vector<keeper_set> earlier;
+
+    auto fields() { return std::tie(current, earlier); }
+};
+
+/// @brief A liveness probe, with news about members.
+struct ping
+{
+    static constexpr auto kind_of_message = message_kind::ping;
+
+    member sender;
+    std::string target;
+    std::uint64_t generation = 0;
+    std::vector<member> news;
+
+    auto fields() { return std::tie(sender, target, generation, news); }
+};
+
+/// @brief The answer to a probe.
+struct pong
+{
+    static constexpr auto kind_of_message = message_kind::pong;
+
+    bool reached = true;
+    std::uint64_t revision = 0;
+    std::uint64_t generation = 0;
+    std::vector<member> news;
+
+    auto fields() { return std::tie(reached, revision, generation, news); }
+};
+
+/// @brief Asks a third member to probe a target that did not answer.
+struct ping_request
+{
+    static constexpr auto kind_of_message = message_kind::ping_request;
+
+    member sender;
+    member target;
+
+    auto fields() { return std::tie(sender, target); }
+};
+
+/// @brief An entry or batch host tells of itself and asks what is new.
+struct view_request
+{
+    static constexpr auto kind_of_message = message_kind::view_request;
+
+    member sender;
+    std::uint64_t known_digest = 0;
+    std::uint64_t known_generation = 0;
+
+    auto fields() { return std::tie(sender, known_digest, known_generation); }
+};
+
+/// @brief The member view; the lists are empty where the asker knows them.
+struct view_answer
+{
+    static constexpr auto kind_of_message = message_kind::view_answer;
+
+    std::uint64_t digest = 0;
+    std::uint64_t revision = 0;
+    std::vector<member> members;
+    keeper_history keepers;
+
+    auto fields() { return std::tie(digest, revision, members, keepers); }
+};
+
+/// @brief Asks for the configuration in force and the keepers' generation.
+struct configuration_request
+{
+    static constexpr auto kind_of_message = message_kind::configuration_request;
+
+    std::uint64_t above_revision = 0;
+    std::uint64_t above_generation = 0;
+
+    auto fields() { return std::tie(above_revision, above_generation); }
+};
+
+/// @brief The configuration's text; empty where none is newer.
+struct configuration_answer
+{
+    static constexpr auto kind_of_message = message_kind::configuration_answer;
+
+    std::uint64_t revision = 0;
+    std::string text;
+    keeper_history keepers;
+
+    auto fields() { return std::tie(revision, text, keepers); }
+};
+
+/// @brief Asks a coordinator what it knows, for the operator's tool.
+struct status_request
+{
+    static constexpr auto kind_of_message = message_kind::status_request;
+
+    bool with_endpoints = true;
+
+    auto fields() { return std::tie(with_endpoints); }
+};
+
+/// @brief One endpoint as its coordinator sees it.
+struct endpoint_status
+{
+    std::string name;
+    std::string group;
+    std::uint32_t limit = 0;
+    std::uint32_t online = 0;
+    std::uint32_t batch = 0;
+    bool leaving = false;
+    bool set_aside = false;
+
+    auto fields()
+    {
+        return std::tie(name, group, limit, online, batch, leaving, set_aside);
+    }
+};
+
+/// @brief A coordinator's view of the members and of its endpoints.
+struct status_answer
+{
+    static constexpr auto kind_of_message = message_kind::status_answer;
+
+    std::string name;
+    std::uint64_t revision = 0;
+    std::uint64_t generation = 0;
+    bool store_reachable = false;
+    std::vector<member> members;
+    std::vector<endpoint_status> endpoints;
+
+    auto fields()
+    {
+        return std::tie(name, revision, generation, store_reachable, members,
+                        endpoints);
+    }
+};
+
+} // namespace amaranthhatch::core::messages
--- /dev/null
+++ b/source/core/outcome.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace amaranthhatch::core
+{
+
+/// @brief What is known about a request that has ended.
+enum class outcome : std::uint8_t
+{
+    /// The whole answer was given.
+    done,
+    /// No byte of the request can have reached a back end.
+    not_run,
+    /// A back end may have run the request.
+    unknown
+};
+
+/// @brief Why a request was refused; each has a counter of its own.
+enum class refusal : std::uint8_t
+{
+    none,
+    bad_request,
+    unknown_model,
+    unknown_service,
+    unknown_class,
+    not_configured,
+    draining,
+    queue_full,
+    no_endpoint,
+    deadline_passed,
+    no_coordinator,
+    claim_taken,
+    claim_no_majority,
+    claims_full,
+    connect_failed,
+    endpoint_failed,
+    stream_cut,
+    store_unreachable,
+    no_second_copy,
+    not_doable,
+    moved,
+    unknown_job,
+    count_of_refusals
+};
+
+std::string_view name_of(outcome value);
+std::string_view name_of(refusal value);
+
+} // namespace amaranthhatch::core
--- /dev/null
+++ b/source/core/slots/slot_scheduler.cpp
@@ -0,0 +1,448 @@
+#include "core/slots/slot_scheduler.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+#include <utility>
+
+namespace amaranthhatch::core::slots
+{
+
+namespace
+{
+
+using messages::work_kind;
+
+// A request is long at this multiple of the mean size of recent ones.
+constexpr double long_factor = 2.0;
+constexpr double size_smoothing = 0.02;
+constexpr double first_token_smoothing = 0.05;
+constexpr double hedge_factor = 4.0;
+constexpr std::uint32_t least_hedge_ms = 60;
+constexpr std::uint32_t default_retry_after_ms = 1000;
+
+} // namespace
+
+slot_scheduler::slot_scheduler(std::string group, scheduler_options options,
+                               std::uint64_t first_ticket)
+    : group(std::move(group)), options(options), next_ticket(first_ticket),
+      judge(options.judge)
+{
+}
+
+void slot_scheduler::set_endpoints(instant now,
+                                   std::span<const group_endpoint> listed)
+{
+    std::vector<std::string> measured;
+    for (auto& [name, held] : this->endpoints_by_name)
+        held.listed.leaving = true;
+    for (const auto& one : listed)
+    {
+        auto [found, added] = this->endpoints_by_name.try_emplace(
+            one.name, endpoint{one, limits::concurrency_limit(
+                                        this->options.concurrency)});
+        found->second.listed = one;
+        if (one.measured_by_tokens)
+            measured.push_back(one.name);
+    }
+    // An endpoint that has vanished from the list is kept while tickets on it
+    // are still held, so that their end is counted.
+    std::erase_if(this->endpoints_by_name,
+                  [&](const auto& entry)
+                  {
+                      const endpoint& held = entry.second;
+                      bool on_list =
+                          std::any_of(listed.begin(), listed.end(),
+                                      [&](const auto& one)
+                                      { return one.name == entry.first; });
+                      return !on_list && held.online + held.batch == 0;
+                  });
+    this->judge.set_endpoints(measured);
+    this->place_waiting(now);
+}
+
+void slot_scheduler::want(instant now, waiter from,
+                          const messages::want_slot& request)
+{
+    // A repeated ask isn't learned from twice.
+    if (request.kind == work_kind::online && request.waited_ms == 0)
+    {
+        this->learn_size(request.expected_tokens);
+        if (request.token_gap_ms > 0)
+            this->token_gap_target_ms = request.token_gap_ms;
+    }
+    waiting_request waiting{from, request,
+                            now - milliseconds(request.waited_ms),
+                            now + milliseconds(request.patience_ms)};
+    if (this->queue.empty() && this->try_place(now, waiting))
+        return;
+    if (this->queue.size() >= this->options.queue_limit)
+    {
+        this->refuse(waiting, refusal::queue_full);
+        return;
+    }
+    this->insert_waiting(std::move(waiting));
+    this->place_waiting(now);
+}
+
+void slot_scheduler::insert_waiting(waiting_request waiting)
+{
+    auto place = [this](const waiting_request& one)
+    {
+        queue_place at{one.arrived, one.request.rank,
+                       one.request.expected_tokens};
+        return std::tuple(one.request.kind, one.request.rank,
+                          this->options.order->key(at));
+    };
+    auto before = [&](const waiting_request& one, const waiting_request& other)
+    { return place(one) < place(other); };
+    auto at = std::upper_bound(this->queue.begin(), this->queue.end(), waiting,
+                               before);
+    this->queue.insert(at, std::move(waiting));
+}
+
+void slot_scheduler::place_waiting(instant now)
+{
+    // A request that can't be placed doesn't hold up the ones behind it: they
+    // may need another kind of room, as a short one behind a long one does.
+    std::vector<waiting_request> left;
+    left.reserve(this->queue.size());
+    for (auto& waiting : this->queue)
+    {
+        if (!this->try_place(now, waiting))
+            left.push_back(std::move(waiting));
+    }
+    this->queue = std::move(left);
+}
+
+bool slot_scheduler::try_place(instant now, const waiting_request& waiting)
+{
+    bool online = waiting.request.kind == work_kind::online;
+    endpoint* chosen = online ? this->choose_online(now, waiting.request)
+                              : this->choose_batch(now, waiting.request);
+    if (chosen == nullptr)
+        return false;
+    bool full = this->in_use(*chosen) >= chosen->limit.value();
+    if (online && full && chosen->batch > chosen->yielding)
+        this->yield_one(*chosen);
+    this->grant(now, waiting, *chosen);
+    return true;
+}
+
+std::uint32_t slot_scheduler::in_use(const endpoint& one) const
+{
+    return one.online + one.batch - one.yielding;
+}
+
+bool slot_scheduler::is_usable(instant now, const endpoint& one,
+                               const messages::want_slot& request) const
+{
+    if (one.listed.leaving)
+        return false;
+    const auto& excluded = request.excluded;
+    if (std::find(excluded.begin(), excluded.end(), one.listed.name) !=
+        excluded.end())
+        return false;
+    return !this->judge.is_aside(one.listed.name) ||
+           this->judge.probe_due(now, one.listed.name);
+}
+
+bool slot_scheduler::has_room(const endpoint& one,
+                              const messages::want_slot& request) const
+{
+    std::uint32_t limit = one.limit.value();
+    if (one.online >= limit)
+        return false;
+    if (!this->is_long(request.expected_tokens) || limit < 2)
+        return true;
+    auto reserve = static_cast<std::uint32_t>(
+        std::ceil(limit * this->options.order->short_reserve_share));
+    return one.long_online + reserve < limit ||
+           this->options.order->short_reserve_share <= 0;
+}
+
+slot_scheduler::endpoint*
+slot_scheduler::choose_online(instant now, const messages::want_slot& request)
+{
+    endpoint* best = nullptr;
+    double best_load = 0;
+    for (auto& [name, one] : this->endpoints_by_name)
+    {
+        if (!this->is_usable(now, one, request) ||
+            !this->has_room(one, request))
+            continue;
+        // Batch streams in the way are cancelled, but they cost the first
+        // token some time, so an endpoint with fewer of them is preferred.
+        double load = (one.online + 0.5 * one.batch) / one.limit.value();
+        if (this->judge.is_aside(name))
+        {
+            // One request at a time finds out whether the endpoint is back.
+            if (one.online + one.batch > 0)
+                continue;
+            best = &one;
+            break;
+        }
+        if (best == nullptr || load < best_load)
+        {
+            best = &one;
+            best_load = load;
+        }
+    }
+    return best;
+}
+
+slot_scheduler::endpoint*
+slot_scheduler::choose_batch(instant now, const messages::want_slot& request)
+{
+    endpoint* best = nullptr;
+    double best_load = 0;
+    for (auto& [name, one] : this->endpoints_by_name)
+    {
+        if (!this->is_usable(now, one, request))
+            continue;
+        std::uint32_t limit = one.limit.value();
+        auto reserve = static_cast<std::uint32_t>(
+            std::ceil(limit * this->options.online_reserve_share));
+        bool aside = this->judge.is_aside(name);
+        bool room = aside ? one.online + one.batch == 0
+                          : one.online + one.batch + reserve < limit ||
+                                (limit == 1 && one.online + one.batch == 0);
+        if (!room)
+            continue;
+        // Batch work is the first to try an endpoint that was slow.
+        if (aside)
+            return &one;
+        double load = static_cast<double>(one.online + one.batch) / limit;
+        if (best == nullptr || load < best_load)
+        {
+            best = &one;
+            best_load = load;
+        }
+    }
+    return best;
+}
+
+void slot_scheduler::yield_one(endpoint& from)
+{
+    // The newest batch stream has the least work behind it.
+    std::uint64_t newest = 0;
+    for (const auto& [number, held] : this->tickets)
+    {
+        bool candidate = held.endpoint == from.listed.name &&
+                         held.kind == work_kind::batch && !held.yielding;
+        if (candidate)
+            newest = number;
+    }
+    if (newest == 0)
+        return;
+    ticket& held = this->tickets[newest];
+    held.yielding = true;
+    ++from.yielding;
+    this->output.yields.push_back({held.asker, newest});
+}
+
+void slot_scheduler::grant(instant now, const waiting_request& waiting,
+                           endpoint& on)
+{
+    const auto& request = waiting.request;
+    std::uint64_t number = this->next_ticket++;
+    if (this->judge.is_aside(on.listed.name))
+        this->judge.probed(now, on.listed.name);
+    this->add_ticket(number, {request.asker, on.listed.name, request.kind,
+                              request.expected_tokens, now, now, false, false});
+    slot_decision decision;
+    decision.to = waiting.from;
+    decision.answer.ticket = number;
+    decision.answer.endpoint = on.listed.name;
+    decision.answer.address = on.listed.address;
+    auto hedge =
+        static_cast<std::uint32_t>(hedge_factor * this->median_first_token_ms);
+    decision.answer.hedge_after_ms = std::max(hedge, least_hedge_ms);
+    this->output.decisions.push_back(std::move(decision));
+}
+
+void slot_scheduler::refuse(const waiting_request& waiting, refusal reason)
+{
+    slot_decision decision;
+    decision.to = waiting.from;
+    decision.answer.reason = reason;
+    decision.answer.retry_after_ms = default_retry_after_ms;
+    this->output.decisions.push_back(std::move(decision));
+}
+
+void slot_scheduler::add_ticket(std::uint64_t number, ticket added)
+{
+    auto found = this->endpoints_by_name.find(added.endpoint);
+    if (found == this->endpoints_by_name.end())
+        return;
+    endpoint& on = found->second;
+    added.is_long = this->is_long(added.expected_tokens);
+    this->tickets[number] = added;
+    if (added.kind == work_kind::batch)
+    {
+        ++on.batch;
+        return;
+    }
+    ++on.online;
+    on.long_online += added.is_long ? 1 : 0;
+}
+
+void slot_scheduler::remove_ticket(std::uint64_t number)
+{
+    auto at = this->tickets.find(number);
+    if (at == this->tickets.end())
+        return;
+    ticket held = std::move(at->second);
+    this->tickets.erase(at);
+    auto found = this->endpoints_by_name.find(held.endpoint);
+    if (found == this->endpoints_by_name.end())
+        return;
+    endpoint& on = found->second;
+    if (held.kind == work_kind::batch)
+    {
+        --on.batch;
+        on.yielding -= held.yielding ? 1 : 0;
+        return;
+    }
+    --on.online;
+    on.long_online -= held.is_long ? 1 : 0;
+}
+
+messages::report_answer
+slot_scheduler::report(instant now, const messages::slot_report& told)
+{
+    for (const auto& one : told.finished)
+    {
+        this->remove_ticket(one.ticket);
+        if (one.failed)
+            this->judge.failed(now, one.endpoint);
+        if (one.first_token_ms > 0)
+            this->median_first_token_ms +=
+                (one.first_token_ms - this->median_first_token_ms) *
+                (this->median_first_token_ms <= 0 ? 1 : first_token_smoothing);
+    }
+    this->renew(now, told);
+    this->apply_progress(now, told);
+    this->place_waiting(now);
+    messages::report_answer answer;
+    answer.leave = this->judge.aside();
+    return answer;
+}
+
+void slot_scheduler::renew(instant now, const messages::slot_report& told)
+{
+    for (const auto& one : told.held)
+    {
+        auto found = this->tickets.find(one.ticket);
+        if (found != this->tickets.end())
+        {
+            found->second.renewed = now;
+            continue;
+        }
+        // A ticket that another coordinator granted before this one took over.
+        this->add_ticket(one.ticket,
+                         {told.asker, one.endpoint, one.kind,
+                          one.expected_tokens, now, now, false, false});
+    }
+    if (!told.whole)
+        return;
+    std::vector<std::uint64_t> gone;
+    for (const auto& [number, held] : this->tickets)
+    {
+        // A ticket granted a moment ago may not have reached its asker yet.
+        constexpr milliseconds in_flight_limit{500};
+        bool young = now - held.granted < in_flight_limit;
+        if (held.asker == told.asker && held.renewed != now && !young)
+            gone.push_back(number);
+    }
+    for (std::uint64_t number : gone)
+        this->remove_ticket(number);
+}
+
+void slot_scheduler::apply_progress(instant now,
+                                    const messages::slot_report& told)
+{
+    for (const auto& one : told.progress)
+    {
+        this->judge.progress(now, one.endpoint, one.tokens, one.stream_ms);
+        auto found = this->endpoints_by_name.find(one.endpoint);
+        if (found == this->endpoints_by_name.end() ||
+            this->judge.is_aside(one.endpoint))
+            continue;
+        endpoint& on = found->second;
+        on.limit.observe(now, this->judge.gap_ms(one.endpoint),
+                         this->token_gap_target_ms, on.online + on.batch);
+    }
+    for (const auto& name : this->judge.take_returned())
+    {
+        auto found = this->endpoints_by_name.find(name);
+        if (found != this->endpoints_by_name.end())
+            found->second.limit.back_off();
+    }
+}
+
+void slot_scheduler::tick(instant now)
+{
+    std::vector<std::uint64_t> lapsed;
+    for (const auto& [number, held] : this->tickets)
+    {
+        if (now - held.renewed > this->options.ticket_lease)
+            lapsed.push_back(number);
+    }
+    for (std::uint64_t number : lapsed)
+        this->remove_ticket(number);
+    this->place_waiting(now);
+    bool any_endpoint = !this->endpoints_by_name.empty();
+    std::erase_if(this->queue,
+                  [&](const waiting_request& waiting)
+                  {
+                      if (now < waiting.end)
+                          return false;
+                      this->refuse(waiting, any_endpoint
+                                                ? refusal::deadline_passed
+                                                : refusal::no_endpoint);
+                      return true;
+                  });
+}
+
+scheduler_output slot_scheduler::take_output()
+{
+    return std::exchange(this->output, {});
+}
+
+bool slot_scheduler::is_long(std::uint32_t expected_tokens) const
+{
+    return expected_tokens > this->mean_size_tokens * long_factor &&
+           this->mean_size_tokens > 0;
+}
+
+void slot_scheduler::learn_size(std::uint32_t expected_tokens)
+{
+    double weight = this->mean_size_tokens <= 0 ? 1 : size_smoothing;
+    this->mean_size_tokens +=
+        (expected_tokens - this->mean_size_tokens) * weight;
+}
+
+std::vector<messages::endpoint_status> slot_scheduler::status() const
+{
+    std::vector<messages::endpoint_status> all;
+    for (const auto& [name, one] : this->endpoints_by_name)
+        all.push_back({name, this->group, one.limit.value(), one.online,
+                       one.batch, one.listed.leaving,
+                       this->judge.is_aside(name)});
+    return all;
+}
+
+messages::endpoints_answer slot_scheduler::endpoints() const
+{
+    messages::endpoints_answer answer;
+    for (const auto& [name, one] : this->endpoints_by_name)
+    {
+        if (!one.listed.leaving)
+            answer.endpoints.push_back(
+                {name, one.listed.address, one.listed.region});
+    }
+    return answer;
+}
+
+} // namespace amaranthhatch::core::slots
--- /dev/null
+++ b/source/logging/event.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace amaranthhatch::logging
+{
+
+/// @brief How grave an event is.
+enum class level
+{
+    debug,
+    info,
+    warning,
+    error
+};
+
+/// @brief One log line of key=value pairs, written when it goes out of scope.
+///
+/// Values with blanks or quotes are quoted, so that a line stays parsable.
+class event
+{
+  public:
+    event(level grave, std::string_view name);
+    event(const event&) = delete;
+    event& operator=(const event&) = delete;
+    ~event();
+
+    event& with(std::string_view key, std::string_view value);
+    event& with(std::string_view key, std::int64_t value);
+
+  private:
+    level grave;
+    std::string line;
+};
+
+/// @brief Sends log lines to standard error, each with time, level and program.
+void start(std::string_view program, std::string_view node);
+
+} // namespace amaranthhatch::logging
--- /dev/null
+++ b/source/platform/http_host_list.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <string>
+
+#include "platform/host_list.hpp"
+
+namespace amaranthhatch::platform
+{
+
+/// @brief The host list over its HTTP interface, GET /v1/hosts.
+class http_host_list : public host_list
+{
+  public:
+    explicit http_host_list(std::string address);
+
+    std::optional<std::vector<listed_endpoint>> read() override;
+
+  private:
+    std::string address;
+};
+
+} // namespace amaranthhatch::platform
