--- /dev/null
+++ b/source/core/jobs/journal_copy.cpp
@@ -0,0 +1,73 @@
+#include "core/jobs/journal_copy.hpp"
+
+#include <algorithm>
+
+#include "core/hash.hpp"
+
+namespace amaranthhatch::core::jobs
+{
+
+using verdict = messages::append_answer::verdict;
+
+append_decision
+journal_copy::decide(const messages::journal_append& request) const
+{
+    append_decision decision;
+    decision.keep = this->length();
+    if (request.epoch < this->sealed_epoch)
+    {
+        decision.verdict = verdict::sealed;
+        return decision;
+    }
+    if (request.position > this->length())
+    {
+        decision.verdict = verdict::behind;
+        return decision;
+    }
+    decision.verdict = verdict::stored;
+    while (decision.skip < request.records.size())
+    {
+        std::uint64_t at = request.position + decision.skip;
+        bool held = at < this->length() &&
+                    this->hashes[at] == hash(request.records[decision.skip]);
+        if (!held)
+            break;
+        ++decision.skip;
+    }
+    std::uint64_t same = request.position + decision.skip;
+    bool conflict =
+        decision.skip < request.records.size() && same < this->length();
+    if (!conflict)
+        return decision;
+    // A committed record is the same in every copy; a request that would
+    // replace one is wrong, whoever sends it.
+    if (same < this->known_committed)
+        decision.verdict = verdict::failed;
+    else
+        decision.keep = same;
+    return decision;
+}
+
+bool journal_copy::seal(std::uint64_t epoch)
+{
+    if (epoch < this->sealed_epoch)
+        return false;
+    this->sealed_epoch = epoch;
+    return true;
+}
+
+void journal_copy::applied(std::uint64_t keep,
+                           std::span<const std::string> added)
+{
+    this->hashes.resize(std::min<std::uint64_t>(keep, this->length()));
+    for (const auto& record : added)
+        this->hashes.push_back(hash(record));
+}
+
+void journal_copy::learn_committed(std::uint64_t position)
+{
+    this->known_committed =
+        std::max(this->known_committed, std::min(position, this->length()));
+}
+
+} // namespace amaranthhatch::core::jobs
--- a/source/core/messages/jobs.hpp
+++ b/source/core/messages/jobs.hpp
@@ -146,13 +146,13 @@
     }
 };
 
-/// @brief Asks for committed results from a line of the output on.
+/// @brief Asks for committed results from a record of the journal on.
 struct output_request
 {
     static constexpr auto kind_of_message = message_kind::output_request;
 
     std::string job;
-    std::uint32_t from = 0;
+    std::uint64_t from = 0;
 
     auto fields() { return std::tie(job, from); }
 };
@@ -164,13 +164,42 @@
 
     bool found = false;
     bool last = false;
-    std::uint32_t next = 0;
+    std::uint64_t next = 0;
     std::string lines;
 
     auto fields() { return std::tie(found, last, next, lines); }
 };
 
-/// @brief A journal record that a job's owner writes to the second copy.
+/// @brief What a record of a job's journal holds.
+enum class record_kind : std::uint8_t
+{
+    /// The job's description; always the first record.
+    description,
+    /// One line of the input, in the order of the items.
+    input,
+    /// The result of one item.
+    result,
+    /// The job is cancelled; no item starts after this.
+    cancel,
+    /// Every item has its result.
+    finish
+};
+
+/// @brief One record of a job's journal.
+struct journal_record
+{
+    static constexpr auto kind_of_message = message_kind::journal_record;
+
+    record_kind kind = record_kind::input;
+    std::uint32_t item = 0;
+    bool failed = false;
+    std::string text;
+    job_submit description;
+
+    auto fields() { return std::tie(kind, item, failed, text, description); }
+};
+
+/// @brief Records that a job's owner writes to the second copy.
 struct journal_append
 {
     static constexpr auto kind_of_message = message_kind::journal_append;
@@ -228,9 +257,11 @@
     bool found = false;
     bool refused = false;
     bool last = false;
+    /// The next position to read from.
+    std::uint64_t next = 0;
     std::vector<std::string> records;
 
-    auto fields() { return std::tie(found, refused, last, records); }
+    auto fields() { return std::tie(found, refused, last, next, records); }
 };
 
 /// @brief Lists the jobs that a host knows, for the operator's tool.
--- a/source/core/messages/message_kind.hpp
+++ b/source/core/messages/message_kind.hpp
@@ -48,7 +48,8 @@
     journal_seal,
     seal_answer,
     jobs_request,
-    jobs_answer
+    jobs_answer,
+    journal_record
 };
 
 } // namespace amaranthhatch::core::messages
--- a/source/entry/batch_gateway.cpp
+++ b/source/entry/batch_gateway.cpp
@@ -8,9 +8,9 @@
 #include "control/control_loop.hpp"
 #include "core/hash.hpp"
 #include "core/members/rendezvous.hpp"
-#include "entry/batch_input.hpp"
 #include "logging/event.hpp"
 #include "net/codec.hpp"
+#include "openai/batch_input.hpp"
 #include "process/program.hpp"
 
 namespace amaranthhatch::entry
@@ -103,7 +103,7 @@
 {
   public:
     using fetch = std::function<std::optional<messages::output_answer>(
-        std::uint32_t from)>;
+        std::uint64_t from)>;
 
     output_stream(messages::output_answer first, fetch next)
         : part(std::move(first)), next(std::move(next))
@@ -210,11 +210,11 @@
     {
         auto type = asked.headers.get("Content-Type");
         put.content = type.starts_with("multipart/form-data")
-                          ? file_of_form(asked.body, type)
+                          ? openai::file_of_form(asked.body, type)
                           : asked.body;
-        items = check_batch_input(put.content);
+        items = openai::check_batch_input(put.content);
     }
-    catch (const bad_batch_input& error)
+    catch (const openai::bad_batch_input& error)
     {
         return this->refuse(
             {refusal::bad_request, outcome::not_run, error.what(), {}});
--- a/source/entry/completion_handler.cpp
+++ b/source/entry/completion_handler.cpp
@@ -28,7 +28,7 @@
 struct running_completion
 {
     std::string id;
-    completion_request request;
+    openai::completion_request request;
     std::unique_ptr<generation_run> run;
     workspace_limits::place place;
     std::vector<platform::token> first_tokens;
@@ -58,8 +58,8 @@
                this->running->state == generation_run::state::running)
             this->running->state = this->running->run->pump(pump_wait, tokens);
         for (const auto& one : tokens)
-            chunk += completion_event(this->running->request, this->running->id,
-                                      one.text, false);
+            chunk += openai::completion_event(
+                this->running->request, this->running->id, one.text, false);
         if (this->running->state != generation_run::state::running)
             this->finish(chunk);
         return state::data;
@@ -73,8 +73,8 @@
         this->ended = true;
         if (this->running->state == generation_run::state::done)
         {
-            chunk += completion_event(this->running->request, this->running->id,
-                                      "", true);
+            chunk += openai::completion_event(this->running->request,
+                                              this->running->id, "", true);
             chunk += "data: [DONE]\n\n";
             this->metrics.count("hatch_answers_total", "kind", "streamed");
             return;
@@ -140,12 +140,12 @@
 
 http::response completion_handler::handle(const http::request& asked, bool chat)
 {
-    completion_request request;
+    openai::completion_request request;
     try
     {
-        request = parse_completion(asked.body, chat);
+        request = openai::parse_completion(asked.body, chat);
     }
-    catch (const bad_completion& error)
+    catch (const openai::bad_completion& error)
     {
         return refusal_response(
             {refusal::bad_request, outcome::not_run, error.what(), {}});
@@ -178,7 +178,7 @@
 
 http::response
 completion_handler::run(const http::request& asked,
-                        const completion_request& request,
+                        const openai::completion_request& request,
                         const core::configuration::work_class& by)
 {
     auto running = std::make_unique<running_completion>();
@@ -200,8 +200,8 @@
     generation.authorization = asked.headers.get("Authorization");
     routing::slot_request wanted{
         request.model, want_for(by, request.max_tokens, request.prompt)};
-    running->run = std::make_unique<generation_run>(this->tools, generation,
-                                                    wanted, by.deadline);
+    running->run = std::make_unique<generation_run>(
+        this->tools, generation, wanted, by.deadline, by.deadline);
     // The status line waits for the first token, so that a request that can't
     // be placed gets a proper refusal; a whole answer waits for the last one.
     std::string text;
--- a/source/entry/completion_handler.hpp
+++ b/source/entry/completion_handler.hpp
@@ -3,10 +3,10 @@
 #include <string>
 
 #include "core/configuration/declarations.hpp"
-#include "entry/completion_request.hpp"
 #include "entry/workspace_limits.hpp"
 #include "http/exchange.hpp"
 #include "metrics/registry.hpp"
+#include "openai/completion_request.hpp"
 #include "routing/generation_run.hpp"
 #include "routing/view_client.hpp"
 
@@ -25,7 +25,7 @@
 
   private:
     http::response run(const http::request& asked,
-                       const completion_request& request,
+                       const openai::completion_request& request,
                        const core::configuration::work_class& by);
 
     routing::generation_tools tools;
--- a/source/net/codec.cpp
+++ b/source/net/codec.cpp
@@ -82,6 +82,8 @@
 template <>
 constexpr std::uint64_t enum_limit<messages::claim_verdict> = 4;
 template <>
+constexpr std::uint64_t enum_limit<messages::record_kind> = 4;
+template <>
 constexpr std::uint64_t enum_limit<messages::job_state> = 5;
 template <>
 constexpr std::uint64_t enum_limit<messages::forecast> = 2;
@@ -235,5 +237,6 @@
 HATCH_INSTANTIATE(seal_answer)
 HATCH_INSTANTIATE(jobs_request)
 HATCH_INSTANTIATE(jobs_answer)
+HATCH_INSTANTIATE(journal_record)
 
 } // namespace amaranthhatch::net
--- a/source/entry/batch_input.cpp
+++ b/source/openai/batch_input.cpp
@@ -1,12 +1,12 @@
-#include "entry/batch_input.hpp"
+#include "openai/batch_input.hpp"
 
 #include <set>
 
 #include <nlohmann/json.hpp>
 
-#include "entry/completion_request.hpp"
+#include "openai/completion_request.hpp"
 
-namespace amaranthhatch::entry
+namespace amaranthhatch::openai
 {
 
 namespace
@@ -110,4 +110,4 @@
     throw bad_batch_input("the form has no field \"file\"");
 }
 
-} // namespace amaranthhatch::entry
+} // namespace amaranthhatch::openai
--- a/source/entry/batch_input.hpp
+++ b/source/openai/batch_input.hpp
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <vector>
 
-namespace amaranthhatch::entry
+namespace amaranthhatch::openai
 {
 
 /// @brief A batch input file that can't be accepted; names the line.
@@ -24,4 +24,4 @@
 /// Throws bad_batch_input where the body isn't a valid form.
 std::string file_of_form(std::string_view body, std::string_view content_type);
 
-} // namespace amaranthhatch::entry
+} // namespace amaranthhatch::openai
--- a/source/entry/completion_request.cpp
+++ b/source/openai/completion_request.cpp
@@ -1,8 +1,8 @@
-#include "entry/completion_request.hpp"
+#include "openai/completion_request.hpp"
 
 #include <nlohmann/json.hpp>
 
-namespace amaranthhatch::entry
+namespace amaranthhatch::openai
 {
 
 namespace
@@ -152,4 +152,4 @@
                    {"total_tokens", prompt_tokens + tokens}}}});
 }
 
-} // namespace amaranthhatch::entry
+} // namespace amaranthhatch::openai
--- a/source/entry/completion_request.hpp
+++ b/source/openai/completion_request.hpp
@@ -5,7 +5,7 @@
 #include <string>
 #include <string_view>
 
-namespace amaranthhatch::entry
+namespace amaranthhatch::openai
 {
 
 /// @brief A request body that isn't a valid completion request.
@@ -38,4 +38,4 @@
                             std::string_view id, std::string_view text,
                             std::uint32_t tokens);
 
-} // namespace amaranthhatch::entry
+} // namespace amaranthhatch::openai
--- a/source/routing/generation_run.cpp
+++ b/source/routing/generation_run.cpp
@@ -35,10 +35,11 @@
 
 generation_run::generation_run(generation_tools tools,
                                platform::generation asked, slot_request wanted,
-                               milliseconds deadline)
+                               milliseconds deadline,
+                               milliseconds slot_patience)
     : tools(tools), asked(std::move(asked)), wanted(std::move(wanted)),
-      end(monotonic_now() + deadline), next(this->asked.resume_from),
-      text_so_far(this->asked.resume_text)
+      end(monotonic_now() + deadline), slot_patience(slot_patience),
+      next(this->asked.resume_from), text_so_far(this->asked.resume_text)
 {
     this->tools.hedges.earn();
     this->tools.retries.earn();
@@ -102,7 +103,7 @@
 generation_run::state
 generation_run::pump(milliseconds wait, std::vector<platform::token>& arrived)
 {
-    if (this->attempts.empty() && !this->start_attempt(this->left()))
+    if (this->attempts.empty() && !this->start_attempt(this->slot_patience))
         return state::failed;
     if (this->left().count() == 0)
         return this->fail(refusal::deadline_passed);
@@ -279,11 +280,11 @@
     this->tools.metrics.count("hatch_repeats_total", "reason",
                               name_of(this->failure));
     auto first_reason = this->failure;
-    if (this->start_attempt(this->left()))
+    if (this->start_attempt(this->slot_patience))
         return state::running;
     // Endpoints that failed once are better than none.
     this->wanted.want.excluded.clear();
-    if (this->start_attempt(this->left()))
+    if (this->start_attempt(this->slot_patience))
         return state::running;
     this->failure = first_reason;
     return state::failed;
--- a/source/routing/generation_run.hpp
+++ b/source/routing/generation_run.hpp
@@ -69,7 +69,8 @@
     };
 
     generation_run(generation_tools tools, platform::generation asked,
-                   slot_request wanted, core::milliseconds deadline);
+                   slot_request wanted, core::milliseconds deadline,
+                   core::milliseconds slot_patience);
     ~generation_run();
     generation_run(const generation_run&) = delete;
     generation_run& operator=(const generation_run&) = delete;
@@ -119,6 +120,7 @@
     platform::generation asked;
     slot_request wanted;
     core::instant end;
+    core::milliseconds slot_patience;
     std::vector<attempt> attempts;
     std::uint32_t next = 0;
     std::string text_so_far;
--- a/source/routing/view_client.cpp
+++ b/source/routing/view_client.cpp
@@ -106,6 +106,16 @@
     }
 }
 
+void view_client::leave()
+{
+    this->stopping = true;
+    {
+        std::lock_guard lock(this->asking);
+        this->self.state = messages::liveness::left;
+    }
+    this->refresh();
+}
+
 bool view_client::ask(const std::string& address)
 {
     messages::view_request request;
@@ -147,6 +157,7 @@
     for (const auto& one : told)
     {
         bool wrong = one.name == this->self.name &&
+                     this->self.state == messages::liveness::alive &&
                      one.state != messages::liveness::alive &&
                      one.incarnation >= this->self.incarnation;
         if (wrong)
--- a/source/routing/view_client.hpp
+++ b/source/routing/view_client.hpp
@@ -53,6 +53,9 @@
     /// @brief Asks again at once, as when keepers turn out to have moved.
     void refresh();
 
+    /// @brief Tells a coordinator that this process leaves.
+    void leave();
+
   private:
     void run();
     bool ask(const std::string& address);
