--- a/source/core/claims/claim_keeper.cpp
+++ b/source/core/claims/claim_keeper.cpp
@@ -106,6 +106,8 @@
         return answer;
     auto at = this->by_number.upper_bound(request.after);
     answer.next = request.after;
+    answer.boot = this->boot;
+    answer.restored = this->is_restored(now);
     while (at != this->by_number.end() &&
            answer.claims.size() < this->options.copy_part)
     {
@@ -148,7 +150,7 @@
                                       [&](const auto& other)
                                       { return other.name == one.name; });
             if (one.name != this->name && !listed &&
-                !this->copied.contains(one.name))
+                !this->has_heard(one))
                 missing.push_back(one);
         }
     };
@@ -172,20 +174,50 @@
     }
     if (!part.last)
         return;
-    this->copied.emplace(source);
+    this->copied.insert_or_assign(std::string(source),
+                                  copied_table{part.boot, part.restored});
     this->last_copied = now;
 }
 
+// A table tells of a set's grants only where the keeper has not restarted
+// since it was listed, or has regained what it forgot: two keepers that
+// restarted together would else take each other's empty tables for the truth.
+bool claim_keeper::has_heard(const messages::keeper& one) const
+{
+    if (one.name == this->name)
+        return one.boot == this->boot;
+    auto found = this->copied.find(one.name);
+    return found != this->copied.end() &&
+           (found->second.restored || found->second.boot == one.boot);
+}
+
+bool claim_keeper::has_heard_others(const messages::keeper_set& set) const
+{
+    return std::all_of(set.keepers.begin(), set.keepers.end(),
+                       [this](const auto& one) {
+                           return one.name == this->name ||
+                                  this->has_heard(one);
+                       });
+}
+
+bool claim_keeper::is_restored(instant now) const
+{
+    if (now >= this->started + this->options.window + this->options.ask_limit)
+        return true;
+    const auto& earlier = this->known.earlier;
+    return this->has_heard_others(this->known.current) &&
+           std::all_of(earlier.begin(), earlier.end(),
+                       [this](const auto& set)
+                       { return this->has_heard_others(set); });
+}
+
 std::size_t claim_keeper::unheard(std::string_view key,
                                   const messages::keeper_set& set) const
 {
     std::size_t count = 0;
     for (const auto& one : members::keepers_of(key, set))
     {
-        bool own = one.name == this->name;
-        bool heard =
-            own ? one.boot == this->boot : this->copied.contains(one.name);
-        count += heard ? 0 : 1;
+        count += this->has_heard(one) ? 0 : 1;
     }
     return count;
 }
@@ -231,7 +263,7 @@
                        [&](const auto& one)
                        {
                            return one.name == this->name ||
-                                  this->copied.contains(one.name) ||
+                                  this->has_heard(one) ||
                                   !holds(this->known.current, one.name);
                        });
 }
--- a/source/core/claims/claim_keeper.hpp
+++ b/source/core/claims/claim_keeper.hpp
@@ -4,7 +4,6 @@
 #include <deque>
 #include <functional>
 #include <map>
-#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -88,7 +87,16 @@
 
     void remember(const std::string& key, const std::string& attempt,
                   instant granted);
+    struct copied_table
+    {
+        std::string boot;
+        bool restored = false;
+    };
+
     bool is_continuous(const messages::keeper_set& set) const;
+    bool is_restored(instant now) const;
+    bool has_heard(const messages::keeper& one) const;
+    bool has_heard_others(const messages::keeper_set& set) const;
     std::size_t unheard(std::string_view key,
                         const messages::keeper_set& set) const;
 
@@ -101,7 +109,7 @@
     std::map<std::uint64_t, std::string> by_number;
     std::uint64_t last_number = 0;
     /// Keepers copied from since this keeper moved to its generation.
-    std::set<std::string, std::less<>> copied;
+    std::map<std::string, copied_table, std::less<>> copied;
     instant last_copied{};
 };
 
--- a/source/core/messages/claims.hpp
+++ b/source/core/messages/claims.hpp
@@ -90,8 +90,15 @@
     bool last = false;
     std::uint64_t next = 0;
     std::vector<claim_record> claims;
-
-    auto fields() { return std::tie(moved, last, next, claims); }
+    /// The start that the keeper's memory reaches back to.
+    std::string boot;
+    /// True where it has regained what earlier starts of it may have granted.
+    bool restored = false;
+
+    auto fields()
+    {
+        return std::tie(moved, last, next, claims, boot, restored);
+    }
 };
 
 } // namespace amaranthhatch::core::messages
--- /dev/null
+++ b/tests/core/slots_test.cpp
@@ -0,0 +1,331 @@
+#include <catch2/catch.hpp>
+
+#include "core/limits/retry_budget.hpp"
+#include "core/slots/slot_scheduler.hpp"
+
+using namespace amaranthhatch::core;
+using namespace std::chrono_literals;
+using messages::want_slot;
+using messages::work_kind;
+using slots::scheduler_options;
+using slots::scheduler_output;
+using slots::slot_scheduler;
+
+namespace
+{
+
+struct scheduling
+{
+    explicit scheduling(unsigned endpoints = 2, unsigned limit = 2,
+                        scheduler_options options = {})
+        : scheduler("model@sul", with_limit(options, limit), 1)
+    {
+        for (unsigned index = 0; index < endpoints; ++index)
+            this->listed.push_back({"e" + std::to_string(index),
+                                    "127.0.0.1:" + std::to_string(index + 1),
+                                    "sul", false, true});
+        this->scheduler.set_endpoints(0ms, this->listed);
+    }
+
+    static scheduler_options with_limit(scheduler_options options,
+                                        unsigned limit)
+    {
+        options.concurrency = {limit, 1, limit};
+        return options;
+    }
+
+    static want_slot request(work_kind kind, std::uint32_t tokens = 10,
+                             std::uint32_t patience_ms = 1000)
+    {
+        want_slot want;
+        want.asker = "entry";
+        want.kind = kind;
+        want.expected_tokens = tokens;
+        want.patience_ms = patience_ms;
+        want.token_gap_ms = 54;
+        return want;
+    }
+
+    scheduler_output want(instant now, slots::waiter from,
+                          const want_slot& request)
+    {
+        this->scheduler.want(now, from, request);
+        return this->scheduler.take_output();
+    }
+
+    scheduler_output finish(instant now, std::uint64_t ticket,
+                            const std::string& endpoint)
+    {
+        messages::slot_report report;
+        report.asker = "entry";
+        report.finished.push_back({ticket, endpoint, false, 5});
+        this->scheduler.report(now, report);
+        return this->scheduler.take_output();
+    }
+
+    std::vector<slots::group_endpoint> listed;
+    slot_scheduler scheduler;
+};
+
+struct one_endpoint : scheduling
+{
+    one_endpoint() : scheduling(1, 1) {}
+};
+
+} // namespace
+
+TEST_CASE_METHOD(scheduling, "slots, endpoints free, are granted evenly")
+{
+    auto first = this->want(1ms, 1, request(work_kind::online));
+    auto second = this->want(1ms, 2, request(work_kind::online));
+    REQUIRE(first.decisions.size() == 1);
+    REQUIRE(second.decisions.size() == 1);
+    CHECK(first.decisions[0].answer.endpoint !=
+          second.decisions[0].answer.endpoint);
+}
+
+TEST_CASE_METHOD(one_endpoint,
+                 "slots, batch fills the endpoint, online is granted at once")
+{
+    auto batch = this->want(1ms, 1, request(work_kind::batch));
+    REQUIRE(batch.decisions.size() == 1);
+    auto online = this->want(2ms, 2, request(work_kind::online));
+    REQUIRE(online.decisions.size() == 1);
+    CHECK(online.decisions[0].answer.reason == refusal::none);
+    REQUIRE(online.yields.size() == 1);
+    CHECK(online.yields[0].ticket == batch.decisions[0].answer.ticket);
+}
+
+TEST_CASE_METHOD(one_endpoint,
+                 "slots, online and batch wait, online is served first")
+{
+    auto held = this->want(1ms, 1, request(work_kind::online));
+    this->want(2ms, 2, request(work_kind::batch));
+    this->want(3ms, 3, request(work_kind::online));
+    auto next = this->finish(4ms, held.decisions[0].answer.ticket, "e0");
+    REQUIRE(next.decisions.size() == 1);
+    CHECK(next.decisions[0].to == 3);
+}
+
+TEST_CASE_METHOD(one_endpoint, "slots, short behind long, short is served first")
+{
+    auto held = this->want(1ms, 1, request(work_kind::online));
+    this->want(2ms, 2, request(work_kind::online, 500));
+    this->want(3ms, 3, request(work_kind::online, 10));
+    auto next = this->finish(4ms, held.decisions[0].answer.ticket, "e0");
+    REQUIRE(next.decisions.size() == 1);
+    CHECK(next.decisions[0].to == 3);
+}
+
+TEST_CASE_METHOD(one_endpoint,
+                 "slots, stream of short requests, long one is not starved")
+{
+    auto held = this->want(1ms, 1, request(work_kind::online));
+    auto ticket = held.decisions[0].answer.ticket;
+    this->want(2ms, 2, request(work_kind::online, 500, 60'000));
+    bool served = false;
+    for (int turn = 0; turn < 200 && !served; ++turn)
+    {
+        auto now = instant(100 * turn + 10);
+        this->want(now, 100 + static_cast<slots::waiter>(turn),
+                   request(work_kind::online, 10, 60'000));
+        auto next = this->finish(now, ticket, "e0");
+        REQUIRE(next.decisions.size() == 1);
+        served = next.decisions[0].to == 2;
+        ticket = next.decisions[0].answer.ticket;
+    }
+    CHECK(served);
+}
+
+TEST_CASE("slots, long requests only, leave slots to short ones")
+{
+    scheduling one(1, 10);
+    for (slots::waiter waiter = 1; waiter <= 40; ++waiter)
+        one.want(1ms, waiter, one.request(work_kind::online, 10, 60'000));
+    unsigned short_held = one.scheduler.status()[0].online;
+    REQUIRE(short_held == 10);
+    messages::slot_report none;
+    none.asker = "entry";
+    none.whole = true;
+    one.scheduler.report(2000ms, none);
+    auto refill = one.scheduler.take_output();
+    one.scheduler.report(4000ms, none);
+    one.scheduler.take_output();
+    one.scheduler.report(6000ms, none);
+    one.scheduler.take_output();
+    one.scheduler.report(8000ms, none);
+    one.scheduler.take_output();
+    REQUIRE(one.scheduler.waiting() == 0);
+    unsigned granted = 0;
+    for (slots::waiter waiter = 100; waiter < 120; ++waiter)
+        granted += static_cast<unsigned>(
+            one.want(10'000ms, waiter,
+                     one.request(work_kind::online, 5000, 60'000))
+                .decisions.size());
+    CHECK(granted < 10);
+    CHECK(granted >= 7);
+    auto quick =
+        one.want(10'001ms, 200, one.request(work_kind::online, 10, 60'000));
+    CHECK(quick.decisions.size() == 1);
+}
+
+TEST_CASE_METHOD(one_endpoint, "slots, endpoint leaves, gets no new work")
+{
+    this->listed[0].leaving = true;
+    this->scheduler.set_endpoints(1ms, this->listed);
+    auto none = this->want(2ms, 1, request(work_kind::online));
+    CHECK(none.decisions.empty());
+    CHECK(this->scheduler.endpoints().endpoints.empty());
+}
+
+TEST_CASE_METHOD(one_endpoint, "slots, endpoint vanishes, gets no new work")
+{
+    auto held = this->want(1ms, 1, request(work_kind::online));
+    this->scheduler.set_endpoints(2ms, {});
+    auto none = this->want(3ms, 2, request(work_kind::online));
+    CHECK(none.decisions.empty());
+    CHECK(this->scheduler.status().size() == 1);
+    this->finish(4ms, held.decisions[0].answer.ticket, "e0");
+    this->scheduler.set_endpoints(5ms, {});
+    CHECK(this->scheduler.status().empty());
+}
+
+TEST_CASE_METHOD(one_endpoint, "slots, patience ends, request is refused")
+{
+    this->want(1ms, 1, request(work_kind::online));
+    this->want(2ms, 2, request(work_kind::online, 10, 100));
+    this->scheduler.tick(50ms);
+    CHECK(this->scheduler.take_output().decisions.empty());
+    this->scheduler.tick(103ms);
+    auto refused = this->scheduler.take_output();
+    REQUIRE(refused.decisions.size() == 1);
+    CHECK(refused.decisions[0].answer.reason == refusal::deadline_passed);
+}
+
+TEST_CASE("slots, queue full, request is refused")
+{
+    scheduler_options options;
+    options.queue_limit = 1;
+    scheduling one(1, 1, options);
+    one.want(1ms, 1, one.request(work_kind::online));
+    one.want(1ms, 2, one.request(work_kind::online));
+    auto refused = one.want(1ms, 3, one.request(work_kind::online));
+    REQUIRE(refused.decisions.size() == 1);
+    CHECK(refused.decisions[0].answer.reason == refusal::queue_full);
+}
+
+TEST_CASE_METHOD(one_endpoint,
+                 "slots, asker silent past the lease, its slots are free again")
+{
+    this->want(1ms, 1, request(work_kind::online));
+    this->want(2ms, 2, request(work_kind::online, 10, 60'000));
+    this->scheduler.tick(3900ms);
+    CHECK(this->scheduler.take_output().decisions.empty());
+    this->scheduler.tick(4002ms);
+    CHECK(this->scheduler.take_output().decisions.size() == 1);
+}
+
+TEST_CASE_METHOD(one_endpoint,
+                 "slots, new coordinator, learns held slots from a report")
+{
+    messages::slot_report report;
+    report.asker = "entry";
+    report.whole = true;
+    report.held.push_back({77, "e0", work_kind::online, 10});
+    this->scheduler.report(1ms, report);
+    CHECK(this->scheduler.status()[0].online == 1);
+    CHECK(this->want(2ms, 1, request(work_kind::online)).decisions.empty());
+}
+
+TEST_CASE_METHOD(scheduling, "slots, excluded endpoint, is not chosen")
+{
+    for (int turn = 0; turn < 2; ++turn)
+    {
+        auto want = request(work_kind::online);
+        want.excluded = {"e0"};
+        auto got = this->want(1ms, 1, want);
+        REQUIRE(got.decisions.size() == 1);
+        CHECK(got.decisions[0].answer.endpoint == "e1");
+    }
+}
+
+TEST_CASE("slots, one endpoint slow, is set aside and comes back after probes")
+{
+    scheduling fleet(4, 8);
+    auto progress = [&](instant now, const std::string& name, unsigned tokens)
+    {
+        messages::slot_report report;
+        report.asker = "entry";
+        report.progress.push_back({name, tokens, 500});
+        return fleet.scheduler.report(now, report);
+    };
+    for (auto now = 50ms; now <= 500ms; now += 50ms)
+        for (const char* name : {"e0", "e1", "e2", "e3"})
+            progress(now, name, 50);
+    CHECK(progress(500ms, "e0", 50).leave.empty());
+    messages::report_answer told;
+    for (auto now = 550ms; now <= 1000ms && told.leave.empty(); now += 50ms)
+    {
+        for (const char* name : {"e1", "e2", "e3"})
+            progress(now, name, 50);
+        told = progress(now, "e0", 10);
+    }
+    REQUIRE(told.leave == std::vector<std::string>{"e0"});
+    auto got = fleet.want(1001ms, 1, fleet.request(work_kind::online));
+    CHECK(got.decisions[0].answer.endpoint != "e0");
+    auto probe = fleet.want(2500ms, 2, fleet.request(work_kind::online));
+    CHECK(probe.decisions[0].answer.endpoint == "e0");
+    auto other = fleet.want(2501ms, 3, fleet.request(work_kind::online));
+    CHECK(other.decisions[0].answer.endpoint != "e0");
+    for (auto now = 2550ms; now <= 3000ms; now += 50ms)
+        for (const char* name : {"e1", "e2", "e3", "e0"})
+            told = progress(now, name, 50);
+    CHECK(told.leave.empty());
+}
+
+TEST_CASE("slowness judge, all endpoints slow down, sets none aside")
+{
+    health::slowness_judge judge({});
+    std::vector<std::string> names = {"a", "b", "c", "d"};
+    judge.set_endpoints(names);
+    for (auto now = 0ms; now < 5000ms; now += 50ms)
+        for (const auto& name : names)
+            judge.progress(now, name, now < 2000ms ? 50 : 10, 500);
+    CHECK(judge.aside().empty());
+}
+
+TEST_CASE("slowness judge, many endpoints fail, keeps most of the group")
+{
+    health::slowness_judge judge({});
+    std::vector<std::string> names = {"a", "b", "c", "d", "e"};
+    judge.set_endpoints(names);
+    for (int turn = 0; turn < 3; ++turn)
+        for (const auto& name : names)
+            judge.failed(1ms, name);
+    CHECK(judge.aside().size() == 2);
+}
+
+TEST_CASE("concurrency limit, gap over target, shrinks and grows again")
+{
+    limits::concurrency_limit limit({16, 1, 64});
+    for (auto now = 1000ms; now < 3000ms; now += 100ms)
+        limit.observe(now, 100, 54, 16);
+    CHECK(limit.value() < 12);
+    auto low = limit.value();
+    for (auto now = 3000ms; now < 6000ms; now += 100ms)
+        limit.observe(now, 20, 54, limit.value());
+    CHECK(limit.value() > low);
+}
+
+TEST_CASE("retry budget, calls all fail, allows only its share of repeats")
+{
+    limits::retry_budget budget(0.05, 10);
+    int repeats = 0;
+    for (int call = 0; call < 1000; ++call)
+    {
+        budget.earn();
+        repeats += budget.spend() ? 1 : 0;
+    }
+    CHECK(repeats <= 60);
+    CHECK(repeats >= 50);
+}
