claims: Try split votes again and never hang on a dead peer

Cause: (1) with two keepers dead, calls hung for a minute: a retired connection was closed under the client's lock, while its callbacks waited for that lock. (2) Callers that sent one key at the same moment split the keepers, so that 7 to 11 of 24 keys were served by nobody when one keeper was dead. Ruled out for (2): lost messages; the votes came, each for another attempt. Change: retired connections are closed by a thread of their own without the lock; an answer names the attempt that holds the key, and a vote in which no other attempt is known to have a majority is tried again, as a new attempt, after a random pause. Reports of freed slots go out within 5 ms instead of the interval of 50 ms.

--- a/source/core/claims/claim_keeper.cpp
+++ b/source/core/claims/claim_keeper.cpp
@@ -65,6 +65,7 @@
         answer.verdict = !same  ? claim_verdict::taken
                          : vote ? claim_verdict::granted
                                 : claim_verdict::abstain;
+        answer.holder = found->second.attempt;
         return answer;
     }
     if (!this->may_vote(now, request.key))
@@ -149,8 +150,7 @@
             bool listed = std::any_of(missing.begin(), missing.end(),
                                       [&](const auto& other)
                                       { return other.name == one.name; });
-            if (one.name != this->name && !listed &&
-                !this->has_heard(one))
+            if (one.name != this->name && !listed && !this->has_heard(one))
                 missing.push_back(one);
         }
     };
--- a/source/core/claims/claim_vote.hpp
+++ b/source/core/claims/claim_vote.hpp
@@ -2,6 +2,9 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
 
 #include "core/instant.hpp"
 #include "core/messages/claims.hpp"
@@ -18,6 +21,9 @@
     taken,
     /// No majority can come about; nothing was sent.
     no_majority,
+    /// Other attempts hold a part of the keepers each, and none is known to
+    /// have a majority: worth another try.
+    split,
     /// The keepers are of another generation; ask again with a newer view.
     other_generation,
     full
@@ -30,20 +36,27 @@
     claim_vote(std::size_t keepers, instant asked, milliseconds limit);
 
     /// @brief Counts an answer; an answer after the limit counts as none.
-    void answered(instant now, messages::claim_verdict verdict);
+    void answered(instant now, const messages::claim_answer& answer);
 
     /// @brief Counts a keeper that did not answer.
     void missed();
 
     vote_state state() const;
 
+    /// @brief True where another attempt may hold the key, for all that the
+    /// answers tell.
+    bool other_may_hold() const;
+
   private:
     std::size_t majority() const { return this->keepers / 2 + 1; }
 
     std::size_t keepers;
     instant end;
     std::size_t granted = 0;
-    std::size_t taken = 0;
+    bool other_holds() const;
+
+    /// Keepers that each other attempt is known to hold.
+    std::map<std::string, std::size_t, std::less<>> holders;
     std::size_t other_generation = 0;
     std::size_t full = 0;
     std::size_t counted = 0;
--- a/source/core/messages/claims.hpp
+++ b/source/core/messages/claims.hpp
@@ -43,8 +43,10 @@
 
     claim_verdict verdict = claim_verdict::abstain;
     std::uint64_t generation = 0;
+    /// The attempt that holds the key where it is taken.
+    std::string holder;
 
-    auto fields() { return std::tie(verdict, generation); }
+    auto fields() { return std::tie(verdict, generation, holder); }
 };
 
 /// @brief Gives a grant back; sent only by an attempt that will never send.
--- a/source/entry/service_handler.cpp
+++ b/source/entry/service_handler.cpp
@@ -136,11 +136,11 @@
             {got.reason, outcome::not_run, {}, got.retry_after});
     // The claim comes last before the send, so that a request which finds no
     // slot doesn't use its key up.
-    std::string attempt = process::random_text();
+    std::string key = call.key.empty() ? process::random_text() : call.key;
     std::string claim_key =
         std::string(call.asked.headers.get("X-Hatch-Workspace")) + "/" +
-        call.service.name + "/" + (call.key.empty() ? attempt : call.key);
-    vote_state vote = this->claims.claim(claim_key, attempt);
+        call.service.name + "/" + key;
+    auto [vote, attempt] = this->claims.claim(claim_key);
     if (vote != vote_state::granted)
     {
         this->slots.release(got.slot, false, {});
--- a/source/load/load_run.cpp
+++ b/source/load/load_run.cpp
@@ -23,6 +23,8 @@
 
 constexpr milliseconds request_limit{120'000};
 constexpr milliseconds pump_step{200};
+constexpr milliseconds health_limit{400};
+constexpr milliseconds health_interval{200};
 constexpr std::string_view data_mark = "data: ";
 constexpr int status_ok = 200;
 
@@ -147,9 +149,69 @@
     request_result result;
 };
 
+/// @brief Knows which entries are ready, as a balancer's health check does.
+class entry_health
+{
+  public:
+    explicit entry_health(const std::vector<std::string>& entries)
+        : entries(entries), ready(entries.size())
+    {
+        this->check();
+        this->thread = std::thread([this] { this->run(); });
+    }
+
+    ~entry_health()
+    {
+        this->stopping = true;
+        this->thread.join();
+    }
+
+    /// @brief Ready entries from a turn on; all where none is ready.
+    std::vector<std::string> from(std::size_t turn) const
+    {
+        std::vector<std::string> order;
+        for (bool wanted : {true, false})
+        {
+            for (std::size_t step = 0; step < this->entries.size(); ++step)
+            {
+                std::size_t index = (turn + step) % this->entries.size();
+                if (this->ready[index] == wanted)
+                    order.push_back(this->entries[index]);
+            }
+        }
+        return order;
+    }
+
+  private:
+    void check()
+    {
+        for (std::size_t index = 0; index < this->entries.size(); ++index)
+        {
+            http::call call;
+            call.url = "http://" + this->entries[index] + "/healthz";
+            call.connect_limit = health_limit;
+            call.total_limit = health_limit;
+            this->ready[index] = http::perform(call).status == status_ok;
+        }
+    }
+
+    void run()
+    {
+        while (!this->stopping)
+        {
+            this->check();
+            std::this_thread::sleep_for(health_interval);
+        }
+    }
+
+    const std::vector<std::string>& entries;
+    std::vector<std::atomic<bool>> ready;
+    std::atomic<bool> stopping{false};
+    std::thread thread;
+};
+
 request_result send_one(const load_plan& plan, const planned_request& request,
-                        const std::vector<std::string>& entries,
-                        std::size_t first)
+                        const std::vector<std::string>& entries)
 {
     const auto& stream = plan.streams[request.stream];
     answer_check check(request, stream);
@@ -164,10 +226,9 @@
                     .dump();
     call.total_limit = request_limit;
     http::reply last;
-    for (std::size_t tries = 0; tries < entries.size(); ++tries)
+    for (const auto& entry : entries)
     {
-        call.url = "http://" + entries[(first + tries) % entries.size()] +
-                   "/v1/completions";
+        call.url = "http://" + entry + "/v1/completions";
         http::stream transfer(call);
         while (!transfer.ended())
         {
@@ -223,6 +284,7 @@
         report.streams.push_back(std::move(one));
     }
     auto requests = schedule(plan);
+    entry_health health(entries);
     std::mutex guard;
     std::vector<std::thread> threads;
     threads.reserve(requests.size());
@@ -234,7 +296,8 @@
         threads.emplace_back(
             [&, index]
             {
-                auto result = send_one(plan, requests[index], entries, index);
+                auto result =
+                    send_one(plan, requests[index], health.from(index));
                 if (requests[index].at < plan.warm_up)
                     return;
                 std::lock_guard lock(guard);
--- a/source/net/rpc_client.cpp
+++ b/source/net/rpc_client.cpp
@@ -1,8 +1,12 @@
 #include "net/rpc_client.hpp"
 
+#include <algorithm>
 #include <condition_variable>
+#include <iterator>
 #include <map>
 #include <mutex>
+#include <thread>
+#include <vector>
 
 #include <nng/nng.h>
 #include <nng/protocol/reqrep0/req.h>
@@ -17,6 +21,7 @@
 constexpr nng_duration reconnect_least_ms = 20;
 constexpr nng_duration reconnect_most_ms = 500;
 constexpr nng_duration never_resend_ms = 3'600'000;
+constexpr std::chrono::milliseconds reap_interval{200};
 
 // One connection to a peer. The socket is closed when the last open request on
 // it has ended, never from inside a callback of its own.
@@ -52,22 +57,38 @@
     std::vector<std::shared_ptr<connection>> retired;
     int open_requests = 0;
 
+    bool stopping = false;
+    std::condition_variable stop;
+    std::thread reaper;
+
     std::shared_ptr<connection> connect(const std::string& address)
     {
         std::lock_guard lock(this->guard);
-        this->reap();
         auto& found = this->peers[address];
         if (!found)
             found = std::make_shared<connection>(address);
         return found;
     }
 
-    // Closing a socket waits for its callbacks, so a retired connection is
-    // closed here, on a thread of ours, once only this list holds it.
+    // Closing a socket waits for its callbacks, which need the lock, so
+    // retired connections are closed on a thread of their own without it.
     void reap()
     {
-        std::erase_if(this->retired,
-                      [](const auto& held) { return held.use_count() == 1; });
+        std::unique_lock lock(this->guard);
+        while (!this->stopping)
+        {
+            this->stop.wait_for(lock, reap_interval);
+            std::vector<std::shared_ptr<connection>> closing;
+            auto unused = std::partition(
+                this->retired.begin(), this->retired.end(),
+                [](const auto& held) { return held.use_count() > 1; });
+            closing.assign(std::make_move_iterator(unused),
+                           std::make_move_iterator(this->retired.end()));
+            this->retired.erase(unused, this->retired.end());
+            lock.unlock();
+            closing.clear();
+            lock.lock();
+        }
     }
 
     void replace(const std::string& address,
@@ -148,13 +169,22 @@
 
 } // namespace
 
-rpc_client::rpc_client() : held(std::make_shared<state>()) {}
+rpc_client::rpc_client() : held(std::make_shared<state>())
+{
+    this->held->reaper =
+        std::thread([state = this->held.get()] { state->reap(); });
+}
 
 rpc_client::~rpc_client()
 {
-    std::unique_lock lock(this->held->guard);
-    this->held->idle.wait(lock,
-                          [this] { return this->held->open_requests == 0; });
+    {
+        std::unique_lock lock(this->held->guard);
+        this->held->idle.wait(lock, [this]
+                              { return this->held->open_requests == 0; });
+        this->held->stopping = true;
+    }
+    this->held->stop.notify_all();
+    this->held->reaper.join();
 }
 
 void rpc_client::post(const std::string& address, std::string_view frame,
--- a/source/routing/slot_client.cpp
+++ b/source/routing/slot_client.cpp
@@ -21,7 +21,8 @@
 using core::milliseconds;
 using core::refusal;
 
-constexpr milliseconds report_interval{50};
+constexpr milliseconds report_interval{45};
+constexpr milliseconds least_report_interval{5};
 constexpr milliseconds whole_interval{1000};
 constexpr milliseconds report_limit{500};
 constexpr milliseconds answer_slack{250};
@@ -228,6 +229,8 @@
     found->second.finished.push_back(
         {slot->ticket, slot->endpoint, failed,
          static_cast<std::uint32_t>(first_token.count())});
+    this->release_pending = true;
+    this->released.notify_one();
 }
 
 std::size_t slot_client::held_count() const
@@ -251,7 +254,13 @@
         }
         if (this->takes_yields)
             this->yield_loop();
-        std::this_thread::sleep_for(report_interval);
+        // A freed slot is reported soon, or it would stand idle for the rest
+        // of the interval; a few more may free themselves meanwhile.
+        std::this_thread::sleep_for(least_report_interval);
+        std::unique_lock lock(this->guard);
+        this->released.wait_for(lock, report_interval,
+                                [this] { return this->release_pending; });
+        this->release_pending = false;
     }
 }
 
--- a/source/routing/slot_client.hpp
+++ b/source/routing/slot_client.hpp
@@ -145,6 +145,8 @@
     std::map<std::string, core::instant, std::less<>> silent_homes;
     std::set<std::string, std::less<>> awaiting_yield;
     std::uint64_t next_local_ticket;
+    std::condition_variable released;
+    bool release_pending = false;
     std::atomic<bool> stopping{false};
     std::thread reporter;
 };
