health: Find slow endpoints by progress and resume streams elsewhere

Cause: with 3 of 14 endpoints five times slower, first token p99 rose from 45 to 206 ms and, with the slow ones changing every 2 s, answer p99 from 710 to 2,370 ms. Callers' own requests served as probes of the slow endpoints and waited there for the hedge; streams caught on an endpoint that had just become slow stayed, since the budget of retries was used up; endpoints that had recovered came back late, so the healthy ones were full.

--- a/source/batch/batch_node.hpp
+++ b/source/batch/batch_node.hpp
@@ -88,6 +88,7 @@
     routing::canceller cancels;
     routing::shared_budget hedges;
     routing::shared_budget retries;
+    routing::shared_budget moves;
     batch_folder folder;
     batch_peers peers;
     job_board board;
--- a/source/coordinator/coordinator_node.cpp
+++ b/source/coordinator/coordinator_node.cpp
@@ -25,6 +25,10 @@
 constexpr core::milliseconds join_delay{1500};
 constexpr core::milliseconds leave_time{300};
 constexpr std::size_t watchers_per_zone = 2;
+constexpr unsigned probe_threads = 4;
+constexpr std::size_t probe_queue_limit = 64;
+constexpr std::uint32_t probe_tokens = 4;
+constexpr core::milliseconds probe_limit{1500};
 
 // Waiting slot requests never take all of these, so that probes and claims
 // always find room.
@@ -102,10 +106,10 @@
 coordinator_node::coordinator_node(coordinator_settings settings,
                                    platform::key_value_store& store,
                                    platform::host_list& hosts,
+                                   platform::model_engine& engine,
                                    metrics::registry& metrics,
                                    net::rpc_client& peers)
-    : settings(std::move(settings)), boot(process::random_text()), store(store),
-      hosts(hosts), metrics(metrics), peers(peers),
+    : settings(std::move(settings)), boot(process::random_text()), store(store), hosts(hosts), engine(engine), metrics(metrics), peers(peers),
       members(
           core::members::member_table(own_member(this->settings, this->boot),
                                       {}, process::random_number()),
@@ -115,7 +119,11 @@
                                          this->settings.claims,
                                          control::monotonic_now()),
               this->settings.node.name, this->loop, peers, metrics),
-      slots(this->settings.slots, metrics), watcher(store, *this)
+      slots(this->settings.slots, metrics,
+            [this](const std::string& group,
+                   const core::slots::slot_probe& probe)
+            { this->probe_endpoint(group, probe); }),
+      watcher(store, *this), probes(probe_threads, probe_queue_limit)
 {
     this->loop.run_every(probe_interval, [this] { this->members.probe(); });
     this->loop.run_every(tick_interval, [this]
@@ -127,6 +135,10 @@
                              this->members.tick(now);
                              this->keepers.tick(now);
                              this->choose_watchers();
+                             this->metrics.set(
+                                 "hatch_control_bytes",
+                                 static_cast<double>(this->peers.bytes() +
+                                                     this->server_bytes()));
                          });
 }
 
@@ -151,6 +163,11 @@
         .with("listen", this->settings.listen);
 }
 
+std::uint64_t coordinator_node::server_bytes() const
+{
+    return this->server == nullptr ? 0 : this->server->bytes();
+}
+
 void coordinator_node::drain()
 {
     logging::event(logging::level::info, "draining");
@@ -408,6 +425,50 @@
     this->watcher.set_watching(watch);
 }
 
+void coordinator_node::probe_endpoint(const std::string& group,
+                                      const core::slots::slot_probe& probe)
+{
+    this->probes.post([this, group, probe] { this->run_probe(group, probe); });
+}
+
+// A small generation of this node's own finds out whether an endpoint is back,
+// so that no caller's request has to.
+void coordinator_node::run_probe(const std::string& group,
+                                 const core::slots::slot_probe& probe)
+{
+    platform::generation asked;
+    asked.request = "probe-" + process::random_text();
+    asked.model = group.substr(0, group.rfind('@'));
+    asked.prompt = "probe";
+    asked.max_tokens = probe_tokens;
+    auto end = control::monotonic_now() + probe_limit;
+    auto stream = this->engine.generate(probe.address, asked, probe_limit);
+    std::vector<platform::token> tokens;
+    core::instant first{};
+    auto state = platform::stream_end::open;
+    while (state == platform::stream_end::open && control::monotonic_now() < end)
+    {
+        state = stream->pump(core::milliseconds(20), tokens);
+        if (!tokens.empty() && first.count() == 0)
+            first = control::monotonic_now();
+    }
+    auto now = control::monotonic_now();
+    auto time = first.count() == 0 ? probe_limit : now - first;
+    // The first token only starts the clock.
+    auto count = tokens.empty()
+                     ? 0u
+                     : static_cast<std::uint32_t>(tokens.size()) - 1;
+    stream.reset();
+    if (state == platform::stream_end::open)
+        this->engine.cancel(probe.address, asked.request);
+    this->loop.post(
+        [this, group, endpoint = probe.endpoint, count, time]
+        {
+            this->slots.probe_ended(control::monotonic_now(), group, endpoint,
+                                    count, time);
+        });
+}
+
 void coordinator_node::poll_hosts()
 {
     constexpr core::milliseconds step{50};
--- a/source/coordinator/coordinator_node.hpp
+++ b/source/coordinator/coordinator_node.hpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "control/control_loop.hpp"
+#include "control/worker_pool.hpp"
 #include "coordinator/keeper_service.hpp"
 #include "coordinator/member_service.hpp"
 #include "coordinator/shared_watcher.hpp"
@@ -17,6 +18,7 @@
 #include "net/rpc_server.hpp"
 #include "platform/host_list.hpp"
 #include "platform/key_value_store.hpp"
+#include "platform/model_engine.hpp"
 #include "process/program.hpp"
 
 namespace amaranthhatch::coordinator
@@ -44,8 +46,9 @@
   public:
     coordinator_node(coordinator_settings settings,
                      platform::key_value_store& store,
-                     platform::host_list& hosts, metrics::registry& metrics,
-                     net::rpc_client& peers);
+                     platform::host_list& hosts,
+                     platform::model_engine& engine,
+                     metrics::registry& metrics, net::rpc_client& peers);
     ~coordinator_node() override;
 
     void start();
@@ -90,12 +93,18 @@
                const core::messages::keeper_history& keepers);
     void fetch_newer(const std::string& address);
     void choose_watchers();
+    std::uint64_t server_bytes() const;
     void poll_hosts();
+    void probe_endpoint(const std::string& group,
+                        const core::slots::slot_probe& probe);
+    void run_probe(const std::string& group,
+                   const core::slots::slot_probe& probe);
 
     coordinator_settings settings;
     std::string boot;
     platform::key_value_store& store;
     platform::host_list& hosts;
+    platform::model_engine& engine;
     metrics::registry& metrics;
     net::rpc_client& peers;
     control::control_loop loop;
@@ -104,6 +113,7 @@
     keeper_service keepers;
     slot_service slots;
     shared_watcher watcher;
+    control::worker_pool probes;
     bool fetching = false;
     std::atomic<bool> stopping{false};
     std::thread hosts_thread;
--- a/source/coordinator/slot_service.cpp
+++ b/source/coordinator/slot_service.cpp
@@ -30,8 +30,8 @@
 }
 
 slot_service::slot_service(core::slots::scheduler_options options,
-                           metrics::registry& metrics)
-    : options(options), metrics(metrics)
+                           metrics::registry& metrics, prober probe)
+    : options(options), metrics(metrics), probe(std::move(probe))
 {
 }
 
@@ -59,7 +59,7 @@
             this->groups.try_emplace(name, name, this->options, first_ticket())
                 .first;
         at->second.set_endpoints(now, endpoints);
-        this->send_output(at->second);
+        this->send_output(name, at->second);
     }
 }
 
@@ -79,7 +79,7 @@
     auto number = this->next_waiter++;
     this->waiters.emplace(number, std::move(reply));
     group->want(now, number, request);
-    this->send_output(*group);
+    this->send_output(request.group, *group);
 }
 
 void slot_service::report(core::instant now, const messages::slot_report& told,
@@ -89,7 +89,7 @@
     if (auto* group = this->find(told.group))
     {
         answer = group->report(now, told);
-        this->send_output(*group);
+        this->send_output(told.group, *group);
     }
     reply.send(net::encode(answer));
 }
@@ -119,7 +119,7 @@
     for (auto& [name, group] : this->groups)
     {
         group.tick(now);
-        this->send_output(group);
+        this->send_output(name, group);
     }
     for (auto& [asker, waiting] : this->yields)
     {
@@ -130,7 +130,8 @@
     }
 }
 
-void slot_service::send_output(core::slots::slot_scheduler& from)
+void slot_service::send_output(const std::string& group,
+                               core::slots::slot_scheduler& from)
 {
     auto output = from.take_output();
     for (const auto& decision : output.decisions)
@@ -152,6 +153,22 @@
     }
     if (!output.yields.empty())
         this->send_yields();
+    for (const auto& one : output.probes)
+    {
+        this->metrics.count("hatch_probes_total", "endpoint", one.endpoint);
+        this->probe(group, one);
+    }
+}
+
+void slot_service::probe_ended(core::instant now, const std::string& group,
+                               const std::string& endpoint,
+                               std::uint32_t tokens, core::milliseconds time)
+{
+    auto* found = this->find(group);
+    if (found == nullptr)
+        return;
+    found->probe_ended(now, endpoint, tokens, time);
+    this->send_output(group, *found);
 }
 
 void slot_service::send_yields()
--- a/source/coordinator/slot_service.hpp
+++ b/source/coordinator/slot_service.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -25,8 +26,17 @@
 class slot_service
 {
   public:
+    /// @brief Runs a probe of a group's endpoint elsewhere; its result comes
+    /// back by probe_ended().
+    using prober = std::function<void(const std::string& group,
+                                      const core::slots::slot_probe& probe)>;
+
     slot_service(core::slots::scheduler_options options,
-                 metrics::registry& metrics);
+                 metrics::registry& metrics, prober probe);
+
+    void probe_ended(core::instant now, const std::string& group,
+                     const std::string& endpoint, std::uint32_t tokens,
+                     core::milliseconds time);
 
     void set_endpoints(core::instant now,
                        const std::vector<platform::listed_endpoint>& listed);
@@ -52,11 +62,13 @@
     };
 
     core::slots::slot_scheduler* find(const std::string& group);
-    void send_output(core::slots::slot_scheduler& from);
+    void send_output(const std::string& group,
+                     core::slots::slot_scheduler& from);
     void send_yields();
 
     core::slots::scheduler_options options;
     metrics::registry& metrics;
+    prober probe;
     std::map<std::string, core::slots::slot_scheduler, std::less<>> groups;
     std::map<core::slots::waiter, net::reply_handle> waiters;
     core::slots::waiter next_waiter = 1;
--- a/source/core/health/progress_window.cpp
+++ b/source/core/health/progress_window.cpp
@@ -6,17 +6,11 @@
 namespace amaranthhatch::core::health
 {
 
-namespace
-{
-
-constexpr double half_life_ms = 250;
-
-} // namespace
-
 void progress_window::add(instant now, double added_tokens, double added_ms)
 {
     double age = static_cast<double>((now - this->updated).count());
-    double kept = std::exp2(-std::max(age, 0.0) / half_life_ms);
+    double kept = std::exp2(-std::max(age, 0.0) /
+                            static_cast<double>(this->half_life.count()));
     this->tokens = this->tokens * kept + added_tokens;
     this->stream_ms = this->stream_ms * kept + added_ms;
     this->updated = now;
--- a/source/core/health/progress_window.hpp
+++ b/source/core/health/progress_window.hpp
@@ -9,6 +9,8 @@
 class progress_window
 {
   public:
+    explicit progress_window(milliseconds half_life) : half_life(half_life) {}
+
     void add(instant now, double tokens, double stream_ms);
 
     /// @brief Milliseconds per token; a silent endpoint's value keeps growing.
@@ -22,6 +24,7 @@
     void clear();
 
   private:
+    milliseconds half_life;
     double tokens = 0;
     double stream_ms = 0;
     instant updated{};
--- a/source/core/limits/concurrency_limit.cpp
+++ b/source/core/limits/concurrency_limit.cpp
@@ -41,12 +41,6 @@
     }
 }
 
-void concurrency_limit::back_off()
-{
-    this->limit =
-        std::max(static_cast<double>(this->options.least), this->limit / 2);
-}
-
 std::uint32_t concurrency_limit::value() const
 {
     return static_cast<std::uint32_t>(this->limit);
--- a/source/core/limits/concurrency_limit.hpp
+++ b/source/core/limits/concurrency_limit.hpp
@@ -29,9 +29,6 @@
     void observe(instant now, double gap_ms, double target_ms,
                  std::uint32_t in_use);
 
-    /// @brief Halves the limit, for an endpoint that comes back from trouble.
-    void back_off();
-
     std::uint32_t value() const;
 
   private:
--- a/source/core/slots/slot_scheduler.cpp
+++ b/source/core/slots/slot_scheduler.cpp
@@ -17,8 +17,11 @@
 constexpr double long_factor = 2.0;
 constexpr double size_smoothing = 0.02;
 constexpr double first_token_smoothing = 0.05;
-constexpr double hedge_factor = 4.0;
+constexpr double hedge_factor = 2.5;
 constexpr std::uint32_t least_hedge_ms = 60;
+
+// A suspect endpoint is taken only where no other one has room.
+constexpr double suspect_load = 100;
 constexpr std::uint32_t default_retry_after_ms = 1000;
 
 } // namespace
@@ -118,8 +121,8 @@
 bool slot_scheduler::try_place(instant now, const waiting_request& waiting)
 {
     bool online = waiting.request.kind == work_kind::online;
-    endpoint* chosen = online ? this->choose_online(now, waiting.request)
-                              : this->choose_batch(now, waiting.request);
+    endpoint* chosen = online ? this->choose_online(waiting.request)
+                              : this->choose_batch(waiting.request);
     if (chosen == nullptr)
         return false;
     bool full = this->in_use(*chosen) >= chosen->limit.value();
@@ -134,7 +137,7 @@
     return one.online + one.batch - one.yielding;
 }
 
-bool slot_scheduler::is_usable(instant now, const endpoint& one,
+bool slot_scheduler::is_usable(const endpoint& one,
                                const messages::want_slot& request) const
 {
     if (one.listed.leaving)
@@ -143,8 +146,7 @@
     if (std::find(excluded.begin(), excluded.end(), one.listed.name) !=
         excluded.end())
         return false;
-    return !this->judge.is_aside(one.listed.name) ||
-           this->judge.probe_due(now, one.listed.name);
+    return !this->judge.is_aside(one.listed.name);
 }
 
 bool slot_scheduler::has_room(const endpoint& one,
@@ -162,26 +164,21 @@
 }
 
 slot_scheduler::endpoint*
-slot_scheduler::choose_online(instant now, const messages::want_slot& request)
+slot_scheduler::choose_online(const messages::want_slot& request)
 {
     endpoint* best = nullptr;
+    double median_gap_ms = this->judge.median_gap_ms();
     double best_load = 0;
     for (auto& [name, one] : this->endpoints_by_name)
     {
-        if (!this->is_usable(now, one, request) ||
+        if (!this->is_usable(one, request) ||
             !this->has_room(one, request))
             continue;
         // Batch streams in the way are cancelled, but they cost the first
         // token some time, so an endpoint with fewer of them is preferred.
         double load = (one.online + 0.5 * one.batch) / one.limit.value();
-        if (this->judge.is_aside(name))
-        {
-            // One request at a time finds out whether the endpoint is back.
-            if (one.online + one.batch > 0)
-                continue;
-            best = &one;
-            break;
-        }
+        if (this->judge.is_suspect(name, median_gap_ms))
+            load += suspect_load;
         if (best == nullptr || load < best_load)
         {
             best = &one;
@@ -192,26 +189,21 @@
 }
 
 slot_scheduler::endpoint*
-slot_scheduler::choose_batch(instant now, const messages::want_slot& request)
+slot_scheduler::choose_batch(const messages::want_slot& request)
 {
     endpoint* best = nullptr;
     double best_load = 0;
     for (auto& [name, one] : this->endpoints_by_name)
     {
-        if (!this->is_usable(now, one, request))
+        if (!this->is_usable(one, request))
             continue;
         std::uint32_t limit = one.limit.value();
         auto reserve = static_cast<std::uint32_t>(
             std::ceil(limit * this->options.online_reserve_share));
-        bool aside = this->judge.is_aside(name);
-        bool room = aside ? one.online + one.batch == 0
-                          : one.online + one.batch + reserve < limit ||
-                                (limit == 1 && one.online + one.batch == 0);
+        bool room = one.online + one.batch + reserve < limit ||
+                    (limit == 1 && one.online + one.batch == 0);
         if (!room)
             continue;
-        // Batch work is the first to try an endpoint that was slow.
-        if (aside)
-            return &one;
         double load = static_cast<double>(one.online + one.batch) / limit;
         if (best == nullptr || load < best_load)
         {
@@ -246,8 +238,6 @@
 {
     const auto& request = waiting.request;
     std::uint64_t number = this->next_ticket++;
-    if (this->judge.is_aside(on.listed.name))
-        this->judge.probed(now, on.listed.name);
     this->add_ticket(number, {request.asker, on.listed.name, request.kind,
                               request.expected_tokens, now, now, false, false});
     slot_decision decision;
@@ -373,12 +363,14 @@
         on.limit.observe(now, this->judge.gap_ms(one.endpoint),
                          this->token_gap_target_ms, on.online + on.batch);
     }
-    for (const auto& name : this->judge.take_returned())
-    {
-        auto found = this->endpoints_by_name.find(name);
-        if (found != this->endpoints_by_name.end())
-            found->second.limit.back_off();
-    }
+}
+
+void slot_scheduler::probe_ended(instant now, std::string_view endpoint,
+                                 std::uint32_t tokens, milliseconds time)
+{
+    this->judge.progress(now, endpoint, tokens,
+                         static_cast<double>(time.count()));
+    this->place_waiting(now);
 }
 
 void slot_scheduler::tick(instant now)
@@ -391,6 +383,12 @@
     }
     for (std::uint64_t number : lapsed)
         this->remove_ticket(number);
+    for (const auto& name : this->judge.take_due_probes(now))
+    {
+        auto found = this->endpoints_by_name.find(name);
+        if (found != this->endpoints_by_name.end())
+            this->output.probes.push_back({name, found->second.listed.address});
+    }
     this->place_waiting(now);
     bool any_endpoint = !this->endpoints_by_name.empty();
     std::erase_if(this->queue,
--- a/source/core/slots/slot_scheduler.hpp
+++ b/source/core/slots/slot_scheduler.hpp
@@ -60,11 +60,19 @@
     std::uint64_t ticket = 0;
 };
 
+/// @brief An endpoint that is set aside and due for a small generation.
+struct slot_probe
+{
+    std::string endpoint;
+    std::string address;
+};
+
 /// @brief What came of the last calls.
 struct scheduler_output
 {
     std::vector<slot_decision> decisions;
     std::vector<slot_yield> yields;
+    std::vector<slot_probe> probes;
 };
 
 /// @brief Grants the slots of one group of endpoints.
@@ -86,6 +94,10 @@
     messages::report_answer report(instant now,
                                    const messages::slot_report& told);
 
+    /// @brief What a probe has seen; no tokens where it failed.
+    void probe_ended(instant now, std::string_view endpoint,
+                     std::uint32_t tokens, milliseconds time);
+
     /// @brief Refuses requests whose patience has ended, frees lapsed tickets.
     void tick(instant now);
 
@@ -134,9 +146,9 @@
     bool try_place(instant now, const waiting_request& waiting);
     void place_waiting(instant now);
     std::uint32_t in_use(const endpoint& one) const;
-    endpoint* choose_online(instant now, const messages::want_slot& request);
-    endpoint* choose_batch(instant now, const messages::want_slot& request);
-    bool is_usable(instant now, const endpoint& one,
+    endpoint* choose_online(const messages::want_slot& request);
+    endpoint* choose_batch(const messages::want_slot& request);
+    bool is_usable(const endpoint& one,
                    const messages::want_slot& request) const;
     bool has_room(const endpoint& one,
                   const messages::want_slot& request) const;
--- a/source/entry/entry_node.cpp
+++ b/source/entry/entry_node.cpp
@@ -16,6 +16,7 @@
 using core::milliseconds;
 
 constexpr double budget_burst = 10;
+constexpr double move_burst = 30;
 constexpr std::string_view coordinated_strategy = "coordinated";
 
 core::messages::member own_member(const process::node_settings& node,
@@ -61,6 +62,9 @@
     read.retry_share =
         per_cent *
         static_cast<double>(from.number_or("entry.retry_percent", 10, percent));
+    read.move_share =
+        per_cent * static_cast<double>(
+                       from.number_or("entry.move_percent", 20, percent));
     read.strategy = from.text_or("entry.strategy", coordinated_strategy);
     if (read.strategy != coordinated_strategy &&
         !routing::local_slots::is_policy(read.strategy))
@@ -88,9 +92,10 @@
                 : static_cast<routing::slot_source&>(this->coordinated)),
       cancels(engine), hedges(this->settings.hedge_share, budget_burst),
       retries(this->settings.retry_share, budget_burst),
+      moves(this->settings.move_share, move_burst),
       claims(this->settings.claim_ask_limit, this->view, peers, metrics),
       completions({engine, this->slots, this->cancels, this->hedges,
-                   this->retries, metrics},
+                   this->retries, this->moves, metrics},
                   this->view, this->limits, metrics),
       services(this->slots, this->claims, this->retries, this->view, metrics),
       batches(this->view, peers, metrics)
--- a/source/entry/entry_node.hpp
+++ b/source/entry/entry_node.hpp
@@ -37,6 +37,7 @@
     core::milliseconds claim_ask_limit{};
     double hedge_share = 0;
     double retry_share = 0;
+    double move_share = 0;
     std::string strategy;
 };
 
@@ -68,6 +69,7 @@
     routing::canceller cancels;
     routing::shared_budget hedges;
     routing::shared_budget retries;
+    routing::shared_budget moves;
     workspace_limits limits;
     routing::claim_client claims;
     completion_handler completions;
--- a/source/load/load_plan.cpp
+++ b/source/load/load_plan.cpp
@@ -67,7 +67,6 @@
     }
     if (plan.streams.empty())
         from.refuse("stream", "at least one stream must be given");
-    from.finish();
     return plan;
 }
 
--- a/source/load/load_plan.hpp
+++ b/source/load/load_plan.hpp
@@ -35,7 +35,7 @@
     std::vector<load_stream> streams;
 };
 
-/// @brief Reads and checks a plan.
+/// @brief Reads and checks a plan; the caller finishes the document.
 load_plan read_plan(settings::document& from);
 
 /// @brief One request of a plan.
--- a/source/net/rpc_client.cpp
+++ b/source/net/rpc_client.cpp
@@ -1,6 +1,7 @@
 #include "net/rpc_client.hpp"
 
 #include <algorithm>
+#include <atomic>
 #include <condition_variable>
 #include <iterator>
 #include <map>
@@ -56,6 +57,7 @@
     std::map<std::string, std::shared_ptr<connection>, std::less<>> peers;
     std::vector<std::shared_ptr<connection>> retired;
     int open_requests = 0;
+    std::atomic<std::uint64_t> bytes{0};
 
     bool stopping = false;
     std::condition_variable stop;
@@ -151,6 +153,7 @@
         std::string frame(static_cast<const char*>(nng_msg_body(message)),
                           nng_msg_len(message));
         nng_msg_free(message);
+        this->owner->bytes += frame.size();
         this->finish(std::move(frame));
     }
 
@@ -208,6 +211,7 @@
     nng_msg* message = nullptr;
     nng_msg_alloc(&message, 0);
     nng_msg_append(message, frame.data(), frame.size());
+    this->held->bytes += frame.size();
     if (!over->usable || nng_ctx_open(&started->context, over->socket) != 0)
     {
         nng_msg_free(message);
@@ -219,6 +223,8 @@
     nng_ctx_send(started->context, started->aio);
 }
 
+std::uint64_t rpc_client::bytes() const { return this->held->bytes; }
+
 std::optional<std::string> rpc_client::ask(const std::string& address,
                                            std::string_view frame,
                                            std::chrono::milliseconds limit)
--- a/source/net/rpc_client.hpp
+++ b/source/net/rpc_client.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -28,6 +29,9 @@
     void post(const std::string& address, std::string_view frame,
               std::chrono::milliseconds limit, callback done);
 
+    /// @brief Bytes of requests and answers so far.
+    std::uint64_t bytes() const;
+
     /// @brief Asks and waits.
     std::optional<std::string> ask(const std::string& address,
                                    std::string_view frame,
--- a/source/net/rpc_server.cpp
+++ b/source/net/rpc_server.cpp
@@ -1,5 +1,6 @@
 #include "net/rpc_server.hpp"
 
+#include <atomic>
 #include <cstring>
 #include <utility>
 #include <vector>
@@ -25,6 +26,7 @@
     nng_aio* aio = nullptr;
     phase now = phase::receiving;
     const rpc_server::handler* handle = nullptr;
+    std::atomic<std::uint64_t>* bytes = nullptr;
 
     void receive()
     {
@@ -38,6 +40,7 @@
         if (nng_msg_alloc(&message, 0) != 0)
             return;
         nng_msg_append(message, frame.data(), frame.size());
+        *this->bytes += frame.size();
         this->now = phase::sending;
         nng_aio_set_msg(this->aio, message);
         nng_ctx_send(this->context, this->aio);
@@ -49,6 +52,7 @@
         std::string frame(static_cast<const char*>(nng_msg_body(message)),
                           nng_msg_len(message));
         nng_msg_free(message);
+        *this->bytes += frame.size();
         this->now = phase::handling;
         (*this->handle)(frame, reply_handle(this));
     }
@@ -78,6 +82,7 @@
 {
     nng_socket socket = NNG_SOCKET_INITIALIZER;
     handler handle;
+    std::atomic<std::uint64_t> bytes{0};
     std::vector<std::unique_ptr<reply_handle::slot>> slots;
 };
 
@@ -126,6 +131,7 @@
     {
         auto made = std::make_unique<reply_handle::slot>();
         made->handle = &this->held->handle;
+        made->bytes = &this->held->bytes;
         check(nng_ctx_open(&made->context, this->held->socket), "open",
               address);
         auto callback = [](void* target)
@@ -140,6 +146,8 @@
         open->receive();
 }
 
+std::uint64_t rpc_server::bytes() const { return this->held->bytes; }
+
 rpc_server::~rpc_server()
 {
     nng_close(this->held->socket);
--- a/source/net/rpc_server.hpp
+++ b/source/net/rpc_server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -39,6 +40,9 @@
                handler handle);
     ~rpc_server();
 
+    /// @brief Bytes of requests and answers so far.
+    std::uint64_t bytes() const;
+
   private:
     struct state;
     std::unique_ptr<state> held;
--- a/source/programs/hatch_coordinator.cpp
+++ b/source/programs/hatch_coordinator.cpp
@@ -2,6 +2,7 @@
 #include "logging/event.hpp"
 #include "platform/http_host_list.hpp"
 #include "platform/http_key_value_store.hpp"
+#include "platform/http_model_engine.hpp"
 #include "process/program.hpp"
 
 using namespace amaranthhatch;
@@ -18,8 +19,10 @@
     metrics::registry metrics(settings.metrics);
     platform::http_key_value_store store(settings.store);
     platform::http_host_list hosts(settings.hosts);
+    platform::http_model_engine engine;
     net::rpc_client peers;
-    coordinator::coordinator_node node(settings, store, hosts, metrics, peers);
+    coordinator::coordinator_node node(settings, store, hosts, engine, metrics,
+                                       peers);
     node.start();
     process::wait_for_stop();
     node.drain();
--- a/source/programs/hatch_load.cpp
+++ b/source/programs/hatch_load.cpp
@@ -42,6 +42,7 @@
         auto from =
             settings::document::from_file(parsed["plan"].as<std::string>());
         auto plan = load::read_plan(from);
+        from.finish();
         if (parsed.count("check") > 0)
         {
             std::cout << "plan is valid\n";
--- a/source/routing/generation_run.cpp
+++ b/source/routing/generation_run.cpp
@@ -19,10 +19,14 @@
 
 constexpr unsigned attempts_limit = 6;
 constexpr milliseconds second_patience{60};
-constexpr milliseconds second_interval{50};
+constexpr milliseconds second_interval{20};
 constexpr milliseconds least_idle_limit{400};
 constexpr int idle_limit_in_gaps = 12;
 constexpr std::uint32_t least_tokens_to_move = 4;
+constexpr std::uint32_t least_tokens_to_judge = 3;
+constexpr double gap_smoothing = 0.2;
+constexpr double late_factor = 2.5;
+constexpr double least_late_ms = 35;
 
 // How long a stream may pause before it is resumed on another endpoint.
 milliseconds idle_limit(const core::messages::want_slot& want)
@@ -43,6 +47,7 @@
 {
     this->tools.hedges.earn();
     this->tools.retries.earn();
+    this->tools.moves.earn();
 }
 
 generation_run::~generation_run()
@@ -155,7 +160,16 @@
         this->text_so_far += one.text;
         arrived.push_back(std::move(one));
     }
-    running.slot->tokens += static_cast<std::uint32_t>(got.size());
+    auto count = static_cast<std::uint32_t>(got.size());
+    if (running.has_token)
+    {
+        double gap = static_cast<double>((now - running.last_token).count()) /
+                     std::max(count, 1u);
+        double weight = std::max(gap_smoothing, 1.0 / (running.tokens + 1));
+        running.usual_gap_ms += (gap - running.usual_gap_ms) * weight;
+    }
+    running.tokens += count;
+    running.slot->tokens += count;
     running.last_token = now;
     if (!running.has_token)
         running.first_token = now - running.started;
@@ -191,6 +205,18 @@
     this->tools.slots.release(ended.slot, failed, ended.first_token);
 }
 
+// The next token is late by the stream's own measure. Callers see this a few
+// hundred milliseconds before the coordinator has evidence enough.
+bool generation_run::is_late(const attempt& running) const
+{
+    if (running.tokens < least_tokens_to_judge)
+        return false;
+    double waited = static_cast<double>(
+        (monotonic_now() - running.last_token).count());
+    double limit = std::max(running.usual_gap_ms * late_factor, least_late_ms);
+    return waited > limit;
+}
+
 bool generation_run::wants_second(const attempt& running,
                                   std::string_view& why) const
 {
@@ -206,9 +232,10 @@
         why = "silent";
         return true;
     }
-    why = "slow_endpoint";
-    return running.slot->leave &&
-           this->asked.max_tokens - this->next >= least_tokens_to_move;
+    // A process without a budget of moves, such as a batch host, waits on.
+    bool worth = this->asked.max_tokens - this->next >= least_tokens_to_move;
+    why = running.slot->leave ? "slow_endpoint" : "late_token";
+    return worth && (running.slot->leave || this->is_late(running));
 }
 
 void generation_run::consider_second()
@@ -229,10 +256,11 @@
     if (!this->wants_second(running, why))
         return;
     this->second_considered = now;
-    // Leaving a stream that the judge found slow is no bet, so it draws on the
-    // budget of repeats and not on that of hedges.
-    bool hedge = why == "late_first_token" && !running.slot->leave;
-    auto& budget = hedge ? this->tools.hedges : this->tools.retries;
+    // Resuming elsewhere repeats no generated token, only the prompt's work,
+    // so it has a budget of its own.
+    auto& budget = why == "late_first_token" ? this->tools.hedges
+                   : why == "silent"         ? this->tools.retries
+                                             : this->tools.moves;
     if (!budget.spend())
     {
         this->tools.metrics.count("hatch_repeats_denied_total", "reason", why);
--- a/source/routing/generation_run.hpp
+++ b/source/routing/generation_run.hpp
@@ -47,6 +47,8 @@
     canceller& cancels;
     shared_budget& hedges;
     shared_budget& retries;
+    /// Resuming a stream elsewhere because its endpoint has become slow.
+    shared_budget& moves;
     metrics::registry& metrics;
 };
 
@@ -101,6 +103,9 @@
         core::instant last_token{};
         bool has_token = false;
         core::milliseconds first_token{};
+        /// The stream's usual gap between tokens, learned as it goes.
+        double usual_gap_ms = 0;
+        std::uint32_t tokens = 0;
     };
 
     bool start_attempt(core::milliseconds patience);
@@ -111,6 +116,7 @@
     void end_attempt(std::size_t index, bool failed);
     void drop_others(std::size_t winner);
     void consider_second();
+    bool is_late(const attempt& running) const;
     bool wants_second(const attempt& running, std::string_view& why) const;
     state handle_end(std::size_t index, platform::stream_end end);
     state fail(core::refusal reason);
--- a/source/settings/document.cpp
+++ b/source/settings/document.cpp
@@ -295,7 +295,7 @@
     return parsed;
 }
 
-std::vector<std::string> document::children(std::string_view key) const
+std::vector<std::string> document::children(std::string_view key)
 {
     std::vector<std::string> names;
     toml::node* node = find(this->held->root, key);
@@ -310,6 +310,9 @@
             this->refuse(std::string(key) + "." + std::string(name.str()),
                          "must be a table");
         names.emplace_back(name.str());
+        // A table of its own may be empty, which leaves all its keys out.
+        if (child.as_table()->empty())
+            this->held->asked.insert(std::string(key) + "." + names.back());
     }
     return names;
 }
--- a/source/settings/document.hpp
+++ b/source/settings/document.hpp
@@ -80,7 +80,7 @@
                                           duration_range range);
 
     /// @brief Names of the tables below a key, in file order.
-    std::vector<std::string> children(std::string_view key) const;
+    std::vector<std::string> children(std::string_view key);
 
     /// @brief Refuses a key with a reason, naming its place in the file.
     [[noreturn]] void refuse(std::string_view key,
