--- a/bench/hatch_slopes.cpp
+++ b/bench/hatch_slopes.cpp
@@ -96,8 +96,8 @@
     double seconds =
         std::chrono::duration<double>(clock_type::now() - started).count();
     double sent = bytes() - bytes_before;
-    double coordinator_share = (total(running.coordinators) - coordinator_cpu) /
-                               (seconds * 10);
+    double coordinator_share =
+        (total(running.coordinators) - coordinator_cpu) / (seconds * 10);
     double entry_share = (total(running.entries) - entry_cpu) / (seconds * 10);
     auto store_after = fleet::counters(running.store);
     auto calls = [](const nlohmann::json& from)
--- a/source/batch/batch_folder.hpp
+++ b/source/batch/batch_folder.hpp
@@ -15,7 +15,7 @@
 /// @brief A batch host's data folder: uploaded files and job journals.
 class batch_folder
 {
-  public:
+public:
     /// @brief Makes the folder where it is missing.
     explicit batch_folder(std::string path);
 
@@ -27,7 +27,7 @@
     std::shared_ptr<journal_file> find_journal(const std::string& job);
     std::shared_ptr<journal_file> make_journal(const std::string& job);
 
-  private:
+private:
     std::shared_ptr<journal_file> open(const std::string& job, bool make);
 
     std::string path;
--- a/source/batch/batch_node.cpp
+++ b/source/batch/batch_node.cpp
@@ -77,8 +77,8 @@
       slots(this->settings.node.name, this->settings.node.region, true,
             this->view, peers, metrics),
       cancels(engine), hedges(0, 0), retries(batch_retry_share, budget_burst),
-      moves(0, 0),
-      folder(this->settings.folder), peers(this->self, this->view, peers),
+      moves(0, 0), folder(this->settings.folder),
+      peers(this->self, this->view, peers),
       views(this->folder, this->peers, this->board, this->manifests),
       keeper(this->folder, this->peers, this->board, this->manifests,
              this->views, store, metrics),
@@ -203,12 +203,10 @@
     messages::append_answer answer;
     answer.result = verdict::behind;
     // A file that was made and never written remembers nothing either.
-    bool blank =
-        !journal || (journal->length() == 0 && journal->epoch() == 0);
+    bool blank = !journal || (journal->length() == 0 && journal->epoch() == 0);
     if (blank && request.position == 0)
     {
-        answer.result =
-            this->keeper.check_new_copy(request.job, request.epoch);
+        answer.result = this->keeper.check_new_copy(request.job, request.epoch);
         if (answer.result != verdict::stored)
             return net::encode(answer);
         journal = this->folder.make_journal(request.job);
--- a/source/batch/batch_node.hpp
+++ b/source/batch/batch_node.hpp
@@ -46,7 +46,7 @@
 /// @brief A batch host: durable jobs, run on slots that may be taken back.
 class batch_node
 {
-  public:
+public:
     batch_node(batch_settings settings, platform::model_engine& engine,
                platform::key_value_store& store, metrics::registry& metrics,
                net::rpc_client& peers);
@@ -56,7 +56,7 @@
     /// @brief Starts no further item, commits what has ended, and stops.
     void drain();
 
-  private:
+private:
     using handler = std::string (batch_node::*)(std::string_view frame);
     struct route
     {
--- a/source/batch/batch_peers.cpp
+++ b/source/batch/batch_peers.cpp
@@ -128,7 +128,7 @@
 }
 
 fetch_result batch_peers::fetch(journal_file& into, const std::string& job,
-                        std::uint64_t epoch, const std::string& address)
+                                std::uint64_t epoch, const std::string& address)
 {
     messages::journal_seal request{job, epoch, 0};
     while (true)
--- a/source/batch/batch_peers.hpp
+++ b/source/batch/batch_peers.hpp
@@ -29,7 +29,7 @@
 /// @brief The other batch hosts: who lives, and their copies of journals.
 class batch_peers : public core::jobs::host_liveness
 {
-  public:
+public:
     batch_peers(core::messages::member self, routing::view_client& view,
                 net::rpc_client& peers);
 
@@ -54,8 +54,8 @@
               const std::string& address);
 
     /// @brief Seals a peer's copy and reads it into this one.
-    fetch_result fetch(journal_file& into, const std::string& job, std::uint64_t epoch,
-               const std::string& address);
+    fetch_result fetch(journal_file& into, const std::string& job,
+                       std::uint64_t epoch, const std::string& address);
 
     bool put_file_copy(const core::messages::file_put& file,
                        const std::string& address);
@@ -63,7 +63,7 @@
 
     const core::messages::member& self() const { return this->own; }
 
-  private:
+private:
     std::vector<core::messages::member> others() const;
 
     core::messages::member own;
--- a/source/batch/item_runner.hpp
+++ b/source/batch/item_runner.hpp
@@ -17,7 +17,7 @@
 /// @brief Runs items of the board on slots that online work may take back.
 class item_runner
 {
-  public:
+public:
     item_runner(unsigned threads, job_board& board,
                 routing::generation_tools tools, routing::view_client& view,
                 metrics::registry& metrics);
@@ -30,7 +30,7 @@
 
     std::size_t running() const { return this->running_items; }
 
-  private:
+private:
     void run();
     void run_item(board_item item);
 
--- a/source/batch/job_board.hpp
+++ b/source/batch/job_board.hpp
@@ -23,7 +23,7 @@
 /// @brief The jobs that this host owns.
 class job_board
 {
-  public:
+public:
     void add(std::shared_ptr<owned_job> job);
     void remove(const std::string& job);
     std::shared_ptr<owned_job> find(const std::string& job) const;
@@ -35,7 +35,7 @@
     /// @brief Wakes threads that wait for an item.
     void changed();
 
-  private:
+private:
     std::optional<board_item> take();
 
     mutable std::mutex guard;
--- a/source/batch/job_keeper.cpp
+++ b/source/batch/job_keeper.cpp
@@ -233,8 +233,7 @@
 
 bool job_keeper::find_second(const std::shared_ptr<owned_job>& job)
 {
-    auto preferred =
-        this->manifests.find(job->about().job).manifest.copies;
+    auto preferred = this->manifests.find(job->about().job).manifest.copies;
     for (const auto& host :
          this->peers.second_hosts(job->about().job, preferred))
     {
@@ -270,8 +269,8 @@
     }
 }
 
-job_keeper::local_copy
-job_keeper::ensure_local(const job_manifest& manifest, journal_file& journal)
+job_keeper::local_copy job_keeper::ensure_local(const job_manifest& manifest,
+                                                journal_file& journal)
 {
     if (journal.length() > 0)
         return journal.seal(manifest.epoch) ? local_copy::ready
--- a/source/batch/job_keeper.hpp
+++ b/source/batch/job_keeper.hpp
@@ -29,7 +29,7 @@
 /// it is away, jobs that are owned run on and the others wait.
 class job_keeper
 {
-  public:
+public:
     job_keeper(batch_folder& folder, batch_peers& peers, job_board& board,
                manifest_cache& manifests, job_views& views,
                platform::key_value_store& store, metrics::registry& metrics);
@@ -47,7 +47,7 @@
 
     core::messages::job_answer job(const core::messages::job_request& request);
 
-  private:
+private:
     struct write_result
     {
         platform::store_result result = platform::store_result::unreachable;
--- a/source/batch/job_views.cpp
+++ b/source/batch/job_views.cpp
@@ -34,8 +34,8 @@
 
 } // namespace
 
-job_views::job_views(batch_folder& folder, batch_peers& peers,
-                     job_board& board, manifest_cache& manifests)
+job_views::job_views(batch_folder& folder, batch_peers& peers, job_board& board,
+                     manifest_cache& manifests)
     : folder(folder), peers(peers), board(board), manifests(manifests)
 {
 }
@@ -53,8 +53,7 @@
     if (!journal || journal->length() == 0)
     {
         // A host without a copy leaves the counts to one that has it.
-        answer.authoritative =
-            from.manifest.state == manifest_state::lost;
+        answer.authoritative = from.manifest.state == manifest_state::lost;
         return answer;
     }
     for (std::uint64_t at = 0; at < journal->length();)
@@ -76,7 +75,7 @@
 }
 
 std::uint64_t job_views::committed_end(const std::string& job,
-                                        const journal_file& journal) const
+                                       const journal_file& journal) const
 {
     if (this->board.find(job) != nullptr)
         return journal.committed();
--- a/source/batch/journal_file.hpp
+++ b/source/batch/journal_file.hpp
@@ -19,7 +19,7 @@
 /// when the file is opened. Every change is on the disk before it is answered.
 class journal_file
 {
-  public:
+public:
     /// @brief Opens or makes the file; throws errors::failure if it can't.
     explicit journal_file(std::string path);
     ~journal_file();
@@ -41,7 +41,7 @@
     std::vector<std::string> read(std::uint64_t from, std::uint64_t end,
                                   std::size_t limit_bytes) const;
 
-  private:
+private:
     enum class entry_type : std::uint8_t
     {
         record,
--- a/source/batch/owned_job.cpp
+++ b/source/batch/owned_job.cpp
@@ -88,8 +88,7 @@
                      std::shared_ptr<journal_file> journal, batch_peers& peers)
     : submit(std::move(description)), own_epoch(epoch),
       journal(std::move(journal)), peers(peers),
-      items(count_inputs(*this->journal)), partials(this->items.count()),
-      started(control::monotonic_now())
+      items(count_inputs(*this->journal)), started(control::monotonic_now())
 {
 }
 
@@ -131,8 +130,12 @@
     run.item = *item;
     auto text = this->journal->read(1 + *item, 2 + *item, 1);
     run.input = net::decode<messages::journal_record>(text.front()).text;
-    run.text = this->partials[*item].text;
-    run.tokens = this->partials[*item].tokens;
+    auto begun = this->partials.find(*item);
+    if (begun != this->partials.end())
+    {
+        run.text = begun->second.text;
+        run.tokens = begun->second.tokens;
+    }
     return run;
 }
 
@@ -142,7 +145,8 @@
     bool again = false;
     {
         std::lock_guard lock(this->guard);
-        this->partials[run.item] = {run.text, run.tokens};
+        if (run.tokens > 0)
+            this->partials[run.item] = {run.text, run.tokens};
         again = this->items.put_back(run.item, why);
     }
     if (!again)
@@ -154,9 +158,10 @@
 void owned_job::add_result(std::uint32_t item, bool failed, std::string line)
 {
     std::lock_guard lock(this->guard);
-    if (this->cancelled || this->commits.is_deposed() || !this->items.settle(item, failed))
+    if (this->cancelled || this->commits.is_deposed() ||
+        !this->items.settle(item, failed))
         return;
-    this->partials[item] = {};
+    this->partials.erase(item);
     messages::journal_record record;
     record.kind = record_kind::result;
     record.item = item;
@@ -264,9 +269,8 @@
 bool owned_job::set_second(const messages::member& host)
 {
     std::lock_guard turn(this->committing);
-    auto result =
-        this->peers.replicate(*this->journal, this->submit.job,
-                              this->own_epoch, 0, host.address);
+    auto result = this->peers.replicate(*this->journal, this->submit.job,
+                                        this->own_epoch, 0, host.address);
     std::lock_guard lock(this->guard);
     if (result == verdict::sealed)
         this->commits.depose();
@@ -343,7 +347,7 @@
         answer.state = messages::job_state::finished;
     else
         answer.state = this->commits.second() ? messages::job_state::running
-                                    : messages::job_state::waiting;
+                                              : messages::job_state::waiting;
     auto forecast = core::jobs::forecast_due(
         answer.total - answer.completed - answer.failed,
         this->items_per_second(), control::unix_now_ms(),
--- a/source/batch/owned_job.hpp
+++ b/source/batch/owned_job.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -31,7 +32,7 @@
 /// later epoch deposes the owner for good.
 class owned_job
 {
-  public:
+public:
     owned_job(core::messages::job_submit description, std::uint64_t epoch,
               std::shared_ptr<journal_file> journal, batch_peers& peers);
 
@@ -77,7 +78,7 @@
     std::uint64_t epoch() const { return this->own_epoch; }
     const std::shared_ptr<journal_file>& file() const { return this->journal; }
 
-  private:
+private:
     struct partial
     {
         std::string text;
@@ -95,7 +96,8 @@
     mutable std::mutex guard;
     std::mutex committing;
     core::jobs::job_items items;
-    std::vector<partial> partials;
+    /// Only of items that were displaced, which are few.
+    std::map<std::uint32_t, partial> partials;
     std::vector<std::string> pending;
     core::jobs::commit_state commits;
     std::string second_address;
--- a/source/control/control_loop.hpp
+++ b/source/control/control_loop.hpp
@@ -23,7 +23,7 @@
 /// Other threads hand it work; none of it may block.
 class control_loop
 {
-  public:
+public:
     using work = std::function<void()>;
 
     control_loop() = default;
@@ -40,7 +40,7 @@
     /// @brief Hands over work from any thread.
     void post(work once);
 
-  private:
+private:
     struct timer
     {
         core::milliseconds interval;
--- a/source/control/worker_pool.hpp
+++ b/source/control/worker_pool.hpp
@@ -13,7 +13,7 @@
 /// @brief A bounded queue of work, done by a fixed number of threads.
 class worker_pool
 {
-  public:
+public:
     using work = std::function<void()>;
 
     worker_pool(unsigned threads, std::size_t queue_limit);
@@ -22,7 +22,7 @@
     /// @brief Hands work over; false where the queue is full.
     bool post(work once);
 
-  private:
+private:
     void run();
 
     std::size_t queue_limit;
--- a/source/coordinator/coordinator_node.cpp
+++ b/source/coordinator/coordinator_node.cpp
@@ -109,7 +109,8 @@
                                    platform::model_engine& engine,
                                    metrics::registry& metrics,
                                    net::rpc_client& peers)
-    : settings(std::move(settings)), boot(process::random_text()), store(store), hosts(hosts), engine(engine), metrics(metrics), peers(peers),
+    : settings(std::move(settings)), boot(process::random_text()), store(store),
+      hosts(hosts), engine(engine), metrics(metrics), peers(peers),
       members(
           core::members::member_table(own_member(this->settings, this->boot),
                                       {}, process::random_number()),
@@ -119,10 +120,10 @@
                                          this->settings.claims,
                                          control::monotonic_now()),
               this->settings.node.name, this->loop, peers, metrics),
-      slots(this->settings.slots, metrics,
-            [this](const std::string& group,
-                   const core::slots::slot_probe& probe)
-            { this->probe_endpoint(group, probe); }),
+      slots(
+          this->settings.slots, metrics,
+          [this](const std::string& group, const core::slots::slot_probe& probe)
+          { this->probe_endpoint(group, probe); }),
       watcher(store, *this), probes(probe_threads, probe_queue_limit)
 {
     this->loop.run_every(probe_interval, [this] { this->members.probe(); });
@@ -446,7 +447,8 @@
     std::vector<platform::token> tokens;
     core::instant first{};
     auto state = platform::stream_end::open;
-    while (state == platform::stream_end::open && control::monotonic_now() < end)
+    while (state == platform::stream_end::open &&
+           control::monotonic_now() < end)
     {
         state = stream->pump(core::milliseconds(20), tokens);
         if (!tokens.empty() && first.count() == 0)
@@ -455,9 +457,8 @@
     auto now = control::monotonic_now();
     auto time = first.count() == 0 ? probe_limit : now - first;
     // The first token only starts the clock.
-    auto count = tokens.empty()
-                     ? 0u
-                     : static_cast<std::uint32_t>(tokens.size()) - 1;
+    auto count =
+        tokens.empty() ? 0u : static_cast<std::uint32_t>(tokens.size()) - 1;
     stream.reset();
     if (state == platform::stream_end::open)
         this->engine.cancel(probe.address, asked.request);
--- a/source/coordinator/coordinator_node.hpp
+++ b/source/coordinator/coordinator_node.hpp
@@ -43,11 +43,10 @@
 /// @brief A coordinator process: membership, configuration, slots and claims.
 class coordinator_node : private shared_state_owner
 {
-  public:
+public:
     coordinator_node(coordinator_settings settings,
                      platform::key_value_store& store,
-                     platform::host_list& hosts,
-                     platform::model_engine& engine,
+                     platform::host_list& hosts, platform::model_engine& engine,
                      metrics::registry& metrics, net::rpc_client& peers);
     ~coordinator_node() override;
 
@@ -56,7 +55,7 @@
     /// @brief Says goodbye to the other members and answers what is open.
     void drain();
 
-  private:
+private:
     using handler = void (coordinator_node::*)(std::string_view frame,
                                                net::reply_handle& reply);
     struct route
--- a/source/coordinator/keeper_service.hpp
+++ b/source/coordinator/keeper_service.hpp
@@ -16,7 +16,7 @@
 /// Runs on the control thread.
 class keeper_service
 {
-  public:
+public:
     keeper_service(core::claims::claim_keeper keeper, std::string name,
                    control::control_loop& loop, net::rpc_client& peers,
                    metrics::registry& metrics);
@@ -35,7 +35,7 @@
 
     const core::claims::claim_keeper& state() const { return this->keeper; }
 
-  private:
+private:
     void fetch(const core::messages::keeper& from, std::uint64_t generation,
                std::uint64_t after);
     void fetched(const core::messages::keeper& from, std::uint64_t generation,
--- a/source/coordinator/member_service.hpp
+++ b/source/coordinator/member_service.hpp
@@ -18,7 +18,7 @@
 /// Runs on the control thread.
 class member_service
 {
-  public:
+public:
     /// @brief Told when a peer knows a higher configuration revision or
     /// keeper generation: the peer's address.
     using newer_handler = std::function<void(const std::string&)>;
@@ -52,7 +52,7 @@
     /// @brief Members and the entries that ask this node for the view.
     std::vector<core::messages::member> everyone() const;
 
-  private:
+private:
     struct asker
     {
         core::messages::member member;
--- a/source/coordinator/shared_watcher.hpp
+++ b/source/coordinator/shared_watcher.hpp
@@ -17,7 +17,7 @@
 /// @brief What the watcher asks of the control state, from its own thread.
 class shared_state_owner
 {
-  public:
+public:
     virtual ~shared_state_owner() = default;
 
     virtual void found_configuration(const stored_configuration& value) = 0;
@@ -35,7 +35,7 @@
 /// writes when keepers have to be added. In an outage it tries on, slowly.
 class shared_watcher
 {
-  public:
+public:
     shared_watcher(platform::key_value_store& store, shared_state_owner& owner);
     ~shared_watcher();
 
@@ -46,7 +46,7 @@
 
     bool reachable() const { return this->store_reachable; }
 
-  private:
+private:
     void run();
     void take(const platform::store_entry& entry);
     void add_keepers();
--- a/source/coordinator/slot_service.hpp
+++ b/source/coordinator/slot_service.hpp
@@ -25,7 +25,7 @@
 /// Runs on the control thread. A reply handle is kept for each waiting asker.
 class slot_service
 {
-  public:
+public:
     /// @brief Runs a probe of a group's endpoint elsewhere; its result comes
     /// back by probe_ended().
     using prober = std::function<void(const std::string& group,
@@ -53,7 +53,7 @@
 
     std::vector<core::messages::endpoint_status> status() const;
 
-  private:
+private:
     struct yield_waiter
     {
         std::unique_ptr<net::reply_handle> reply;
--- a/source/core/claims/claim_keeper.hpp
+++ b/source/core/claims/claim_keeper.hpp
@@ -37,7 +37,7 @@
 /// of. may_vote() is that condition.
 class claim_keeper
 {
-  public:
+public:
     claim_keeper(std::string name, std::string boot, claim_options options,
                  instant started);
 
@@ -77,7 +77,7 @@
     /// is still to be remembered.
     bool may_drop(instant now, const messages::keeper_set& earlier) const;
 
-  private:
+private:
     struct claim
     {
         std::string attempt;
--- a/source/core/claims/claim_vote.hpp
+++ b/source/core/claims/claim_vote.hpp
@@ -32,7 +32,7 @@
 /// @brief Counts the keepers' votes on one attempt.
 class claim_vote
 {
-  public:
+public:
     claim_vote(std::size_t keepers, instant asked, milliseconds limit);
 
     /// @brief Counts an answer; an answer after the limit counts as none.
@@ -47,7 +47,7 @@
     /// answers tell.
     bool other_may_hold() const;
 
-  private:
+private:
     std::size_t majority() const { return this->keepers / 2 + 1; }
 
     std::size_t keepers;
--- a/source/core/configuration/revision_register.hpp
+++ b/source/core/configuration/revision_register.hpp
@@ -13,14 +13,14 @@
 /// can't revert a node.
 class revision_register
 {
-  public:
+public:
     /// @brief Takes a configuration; false where it is no newer.
     bool adopt(std::uint64_t revision, std::string_view text);
 
     std::uint64_t revision() const { return this->held_revision; }
     const std::string& text() const { return this->held_text; }
 
-  private:
+private:
     std::uint64_t held_revision = 0;
     std::string held_text;
 };
--- a/source/core/health/progress_window.hpp
+++ b/source/core/health/progress_window.hpp
@@ -8,7 +8,7 @@
 /// @brief Recent tokens and generating time of an endpoint, fading with age.
 class progress_window
 {
-  public:
+public:
     explicit progress_window(milliseconds half_life) : half_life(half_life) {}
 
     void add(instant now, double tokens, double stream_ms);
@@ -23,7 +23,7 @@
 
     void clear();
 
-  private:
+private:
     milliseconds half_life;
     double tokens = 0;
     double stream_ms = 0;
--- a/source/core/health/slowness_judge.cpp
+++ b/source/core/health/slowness_judge.cpp
@@ -124,9 +124,9 @@
     {
         if (!held.aside || now < held.probe_at)
             continue;
-        held.probe_interval = std::min(held.probe_interval +
-                                           held.probe_interval / probe_growth,
-                                       this->options.most_probe_interval);
+        held.probe_interval =
+            std::min(held.probe_interval + held.probe_interval / probe_growth,
+                     this->options.most_probe_interval);
         held.probe_at = now + held.probe_interval;
         // What was seen before the probe says nothing about now.
         held.window.clear();
--- a/source/core/health/slowness_judge.hpp
+++ b/source/core/health/slowness_judge.hpp
@@ -43,7 +43,7 @@
 /// slows down, freezes or falls silent.
 class slowness_judge
 {
-  public:
+public:
     explicit slowness_judge(judge_options options);
 
     void set_endpoints(std::span<const std::string> names);
--- a/source/core/jobs/commit_state.cpp
+++ b/source/core/jobs/commit_state.cpp
@@ -38,7 +38,10 @@
     this->deposed = this->deposed || result == verdict::sealed;
 }
 
-void commit_state::depose() { this->deposed = true; }
+void commit_state::depose()
+{
+    this->deposed = true;
+}
 
 bool commit_state::needs_second() const
 {
--- a/source/core/jobs/job_items.hpp
+++ b/source/core/jobs/job_items.hpp
@@ -27,7 +27,7 @@
 /// bounded number of tries. Stragglers hold back no other item.
 class job_items
 {
-  public:
+public:
     static constexpr std::uint32_t tries_limit = 3;
 
     explicit job_items(std::uint32_t total);
@@ -48,7 +48,7 @@
     std::uint32_t settled_count() const { return this->settled; }
     std::uint32_t failed_count() const { return this->failed; }
 
-  private:
+private:
     std::uint32_t total;
     std::uint32_t settled = 0;
     std::uint32_t failed = 0;
--- a/source/core/jobs/job_manifest.hpp
+++ b/source/core/jobs/job_manifest.hpp
@@ -49,7 +49,7 @@
 /// @brief Liveness of hosts as a batch host sees it.
 class host_liveness
 {
-  public:
+public:
     virtual ~host_liveness() = default;
     virtual bool is_alive(std::string_view host) const = 0;
 };
--- a/source/core/jobs/journal_copy.hpp
+++ b/source/core/jobs/journal_copy.hpp
@@ -29,7 +29,7 @@
 /// behind the committed ones, so the higher epoch's owner may replace them.
 class journal_copy
 {
-  public:
+public:
     std::uint64_t epoch() const { return this->sealed_epoch; }
     std::uint64_t length() const { return this->hashes.size(); }
     std::uint64_t committed() const { return this->known_committed; }
@@ -46,7 +46,7 @@
     /// @brief Notes up to where records are known to stand in both copies.
     void learn_committed(std::uint64_t position);
 
-  private:
+private:
     std::uint64_t sealed_epoch = 0;
     std::uint64_t known_committed = 0;
     std::vector<std::uint64_t> hashes;
--- a/source/core/limits/concurrency_limit.hpp
+++ b/source/core/limits/concurrency_limit.hpp
@@ -22,7 +22,7 @@
 /// plays no part, since it lags.
 class concurrency_limit
 {
-  public:
+public:
     explicit concurrency_limit(concurrency_options options);
 
     /// @brief Takes a measured gap; in_use is the number of streams.
@@ -31,7 +31,7 @@
 
     std::uint32_t value() const;
 
-  private:
+private:
     concurrency_options options;
     double limit;
     instant changed{};
--- a/source/core/limits/retry_budget.hpp
+++ b/source/core/limits/retry_budget.hpp
@@ -10,7 +10,7 @@
 /// can build up.
 class retry_budget
 {
-  public:
+public:
     /// @brief share: repeats per first call; burst: tokens held at most.
     retry_budget(double share, double burst);
 
@@ -19,7 +19,7 @@
     /// @brief Spends a token; false where none is left.
     bool spend();
 
-  private:
+private:
     double share;
     double burst;
     double tokens;
--- a/source/core/members/member_table.hpp
+++ b/source/core/members/member_table.hpp
@@ -33,7 +33,7 @@
 /// its incarnation to refute. The platform's service plays no part in it.
 class member_table
 {
-  public:
+public:
     member_table(messages::member self, member_options options,
                  std::uint64_t seed);
 
@@ -76,7 +76,7 @@
     /// @brief The highest configuration revision any member has told of.
     std::optional<messages::member> newest_configuration() const;
 
-  private:
+private:
     struct record
     {
         messages::member member;
--- a/source/core/slots/slot_scheduler.cpp
+++ b/source/core/slots/slot_scheduler.cpp
@@ -171,8 +171,7 @@
     double best_load = 0;
     for (auto& [name, one] : this->endpoints_by_name)
     {
-        if (!this->is_usable(one, request) ||
-            !this->has_room(one, request))
+        if (!this->is_usable(one, request) || !this->has_room(one, request))
             continue;
         // Batch streams in the way are cancelled, but they cost the first
         // token some time, so an endpoint with fewer of them is preferred.
--- a/source/core/slots/slot_scheduler.hpp
+++ b/source/core/slots/slot_scheduler.hpp
@@ -83,7 +83,7 @@
 /// cancelled one message later.
 class slot_scheduler
 {
-  public:
+public:
     slot_scheduler(std::string group, scheduler_options options,
                    std::uint64_t first_ticket);
 
@@ -111,7 +111,7 @@
 
     std::size_t waiting() const { return this->queue.size(); }
 
-  private:
+private:
     struct ticket
     {
         std::string asker;
--- a/source/entry/batch_gateway.cpp
+++ b/source/entry/batch_gateway.cpp
@@ -101,7 +101,7 @@
 /// @brief A job's output, read part by part from whichever host has it.
 class output_stream : public http::body_source
 {
-  public:
+public:
     using fetch = std::function<std::optional<messages::output_answer>(
         std::uint64_t from)>;
 
@@ -127,7 +127,7 @@
         return state::data;
     }
 
-  private:
+private:
     messages::output_answer part;
     fetch next;
     bool ended = false;
--- a/source/entry/batch_gateway.hpp
+++ b/source/entry/batch_gateway.hpp
@@ -18,13 +18,13 @@
 /// @brief Serves /v1/files and /v1/batches by way of the batch hosts.
 class batch_gateway
 {
-  public:
+public:
     batch_gateway(routing::view_client& view, net::rpc_client& peers,
                   metrics::registry& metrics);
 
     http::response handle(const http::request& asked);
 
-  private:
+private:
     http::response upload(const http::request& asked);
     http::response content(const std::string& file);
     http::response output(const std::string& job);
--- a/source/entry/completion_handler.cpp
+++ b/source/entry/completion_handler.cpp
@@ -42,7 +42,7 @@
 
 class completion_stream : public http::body_source
 {
-  public:
+public:
     completion_stream(std::unique_ptr<running_completion> started,
                       metrics::registry& metrics)
         : running(std::move(started)), metrics(metrics)
@@ -65,7 +65,7 @@
         return state::data;
     }
 
-  private:
+private:
     // A failed stream gets an error event and no end mark, and the connection
     // is closed short, so that nobody takes it for whole.
     void finish(std::string& chunk)
--- a/source/entry/completion_handler.hpp
+++ b/source/entry/completion_handler.hpp
@@ -16,14 +16,14 @@
 /// @brief Serves chat and plain completions, streamed or whole.
 class completion_handler
 {
-  public:
+public:
     completion_handler(routing::generation_tools tools,
                        routing::view_client& view, workspace_limits& limits,
                        metrics::registry& metrics);
 
     http::response handle(const http::request& asked, bool chat);
 
-  private:
+private:
     http::response run(const http::request& asked,
                        const openai::completion_request& request,
                        const core::configuration::work_class& by);
--- a/source/entry/entry_node.cpp
+++ b/source/entry/entry_node.cpp
@@ -63,8 +63,8 @@
         per_cent *
         static_cast<double>(from.number_or("entry.retry_percent", 10, percent));
     read.move_share =
-        per_cent * static_cast<double>(
-                       from.number_or("entry.move_percent", 20, percent));
+        per_cent *
+        static_cast<double>(from.number_or("entry.move_percent", 20, percent));
     read.strategy = from.text_or("entry.strategy", coordinated_strategy);
     if (read.strategy != coordinated_strategy &&
         !routing::local_slots::is_policy(read.strategy))
--- a/source/entry/entry_node.hpp
+++ b/source/entry/entry_node.hpp
@@ -47,7 +47,7 @@
 /// @brief An entry process: callers' HTTP on one side, endpoints on the other.
 class entry_node
 {
-  public:
+public:
     entry_node(entry_settings settings, platform::model_engine& engine,
                metrics::registry& metrics, net::rpc_client& peers);
 
@@ -56,7 +56,7 @@
     /// @brief Lets running requests end; false where the limit passed first.
     bool drain();
 
-  private:
+private:
     http::response handle(const http::request& asked);
     http::response health() const;
 
--- a/source/entry/service_handler.hpp
+++ b/source/entry/service_handler.hpp
@@ -19,7 +19,7 @@
 /// @brief Forwards calls to plain services, some of which may run only once.
 class service_handler
 {
-  public:
+public:
     service_handler(routing::slot_source& slots, routing::claim_client& claims,
                     routing::shared_budget& retries, routing::view_client& view,
                     metrics::registry& metrics);
@@ -27,7 +27,7 @@
     /// @brief Serves a path below /services/NAME.
     http::response handle(const http::request& asked);
 
-  private:
+private:
     struct service_call
     {
         const http::request& asked;
--- a/source/entry/workspace_limits.hpp
+++ b/source/entry/workspace_limits.hpp
@@ -14,11 +14,11 @@
 /// @brief Requests of each workspace that this entry serves at once.
 class workspace_limits
 {
-  public:
+public:
     /// @brief Holds one place until it is destroyed.
     class place
     {
-      public:
+    public:
         place() = default;
         place(workspace_limits& owner, std::string workspace)
             : owner(&owner), workspace(std::move(workspace))
@@ -30,7 +30,7 @@
 
         explicit operator bool() const { return this->owner != nullptr; }
 
-      private:
+    private:
         workspace_limits* owner = nullptr;
         std::string workspace;
     };
@@ -39,7 +39,7 @@
     place enter(const core::configuration::declarations& declared,
                 std::string_view workspace);
 
-  private:
+private:
     void leave(const std::string& workspace);
 
     std::mutex guard;
--- a/source/errors/failure.hpp
+++ b/source/errors/failure.hpp
@@ -12,7 +12,7 @@
 /// The text ends with what the reader can do next where that is known.
 class failure : public std::runtime_error
 {
-  public:
+public:
     /// @brief Builds the error text as "step (peer): detail".
     failure(std::string_view step, std::string_view peer,
             std::string_view detail);
@@ -23,7 +23,7 @@
     /// @brief The process, address or file the operation spoke to.
     const std::string& peer() const { return this->failed_peer; }
 
-  private:
+private:
     std::string failed_step;
     std::string failed_peer;
 };
--- a/source/http/client.hpp
+++ b/source/http/client.hpp
@@ -52,7 +52,7 @@
 /// @brief A call whose answer is read as it arrives.
 class stream
 {
-  public:
+public:
     explicit stream(const call& asked);
     ~stream();
     stream(const stream&) = delete;
@@ -67,7 +67,7 @@
     bool ended() const;
     const reply& result() const;
 
-  private:
+private:
     struct state;
     std::unique_ptr<state> held;
 };
--- a/source/http/exchange.hpp
+++ b/source/http/exchange.hpp
@@ -19,7 +19,7 @@
 /// @brief The header lines of a message; names compare without case.
 class header_list
 {
-  public:
+public:
     void add(std::string_view name, std::string_view value);
 
     /// @brief The first value under a name, or an empty view.
@@ -27,7 +27,7 @@
 
     std::span<const header> all() const { return this->lines; }
 
-  private:
+private:
     std::vector<header> lines;
 };
 
@@ -44,7 +44,7 @@
 /// @brief Bytes of a streamed body, pulled by the connection's own thread.
 class body_source
 {
-  public:
+public:
     virtual ~body_source() = default;
 
     /// @brief What a call to read() gave.
--- a/source/http/server.cpp
+++ b/source/http/server.cpp
@@ -185,13 +185,11 @@
     return MHD_YES;
 }
 
-MHD_Result server::state::answer(MHD_Connection* connection,
-                                 exchange& running)
+MHD_Result server::state::answer(MHD_Connection* connection, exchange& running)
 {
     if (running.too_large)
         return send(connection, too_large_response(), true);
-    return send(connection, this->handle(running.asked),
-                this->closing.load());
+    return send(connection, this->handle(running.asked), this->closing.load());
 }
 
 server::server(server_options options, handler handle)
--- a/source/http/server.hpp
+++ b/source/http/server.hpp
@@ -24,7 +24,7 @@
 /// handler hears of the request.
 class server
 {
-  public:
+public:
     using handler = std::function<response(const request&)>;
 
     /// @brief Listens at once. Throws errors::failure if it can't.
@@ -43,7 +43,7 @@
     /// @brief Waits until no request is in flight; false after the limit.
     bool wait_until_idle(std::chrono::milliseconds limit) const;
 
-  private:
+private:
     struct state;
     std::unique_ptr<state> held;
 };
--- a/source/load/load_run.cpp
+++ b/source/load/load_run.cpp
@@ -57,7 +57,7 @@
 /// @brief Reads one streamed answer and compares it token by token.
 class answer_check
 {
-  public:
+public:
     answer_check(const planned_request& request, const load_stream& stream)
         : request(request), stream(stream), started(clock_type::now())
     {
@@ -95,7 +95,7 @@
         return std::move(this->result);
     }
 
-  private:
+private:
     void event(const std::string& text)
     {
         if (text == "[DONE]")
@@ -152,7 +152,7 @@
 /// @brief Knows which entries are ready, as a balancer's health check does.
 class entry_health
 {
-  public:
+public:
     explicit entry_health(const std::vector<std::string>& entries)
         : entries(entries), ready(entries.size())
     {
@@ -182,7 +182,7 @@
         return order;
     }
 
-  private:
+private:
     void check()
     {
         for (std::size_t index = 0; index < this->entries.size(); ++index)
--- a/source/logging/event.hpp
+++ b/source/logging/event.hpp
@@ -21,7 +21,7 @@
 /// Values with blanks or quotes are quoted, so that a line stays parsable.
 class event
 {
-  public:
+public:
     event(level grave, std::string_view name);
     event(const event&) = delete;
     event& operator=(const event&) = delete;
@@ -30,7 +30,7 @@
     event& with(std::string_view key, std::string_view value);
     event& with(std::string_view key, std::int64_t value);
 
-  private:
+private:
     level grave;
     std::string line;
 };
--- a/source/metrics/registry.hpp
+++ b/source/metrics/registry.hpp
@@ -10,7 +10,7 @@
 /// @brief The counters of one process, served in Prometheus' text format.
 class registry
 {
-  public:
+public:
     /// @brief Serves /metrics at the address "IP:PORT".
     explicit registry(const std::string& address);
     ~registry();
@@ -22,7 +22,7 @@
     /// @brief Sets a gauge without labels.
     void set(std::string_view family, double value);
 
-  private:
+private:
     struct state;
     std::unique_ptr<state> held;
 };
--- a/source/net/codec.hpp
+++ b/source/net/codec.hpp
@@ -16,7 +16,7 @@
 /// @brief A frame that is no message of ours.
 class codec_error : public std::runtime_error
 {
-  public:
+public:
     using std::runtime_error::runtime_error;
 };
 
--- a/source/net/rpc_client.cpp
+++ b/source/net/rpc_client.cpp
@@ -223,7 +223,10 @@
     nng_ctx_send(started->context, started->aio);
 }
 
-std::uint64_t rpc_client::bytes() const { return this->held->bytes; }
+std::uint64_t rpc_client::bytes() const
+{
+    return this->held->bytes;
+}
 
 std::optional<std::string> rpc_client::ask(const std::string& address,
                                            std::string_view frame,
--- a/source/net/rpc_client.hpp
+++ b/source/net/rpc_client.hpp
@@ -18,7 +18,7 @@
 /// replaced, since it may have gone silent for good while new ones work.
 class rpc_client
 {
-  public:
+public:
     /// @brief Gets the answer's frame, or nothing after the time limit.
     using callback = std::function<void(std::optional<std::string>)>;
 
@@ -37,7 +37,7 @@
                                    std::string_view frame,
                                    std::chrono::milliseconds limit);
 
-  private:
+private:
     struct state;
     std::shared_ptr<state> held;
 };
--- a/source/net/rpc_server.cpp
+++ b/source/net/rpc_server.cpp
@@ -146,7 +146,10 @@
         open->receive();
 }
 
-std::uint64_t rpc_server::bytes() const { return this->held->bytes; }
+std::uint64_t rpc_server::bytes() const
+{
+    return this->held->bytes;
+}
 
 rpc_server::~rpc_server()
 {
--- a/source/net/rpc_server.hpp
+++ b/source/net/rpc_server.hpp
@@ -15,7 +15,7 @@
 /// doesn't wait for its timeout and the server's context is free again.
 class reply_handle
 {
-  public:
+public:
     struct slot;
     explicit reply_handle(slot* owner) : owner(owner) {}
     reply_handle(reply_handle&& other) noexcept;
@@ -24,14 +24,14 @@
 
     void send(std::string_view frame);
 
-  private:
+private:
     slot* owner;
 };
 
 /// @brief Answers requests of other processes over nng's request/reply.
 class rpc_server
 {
-  public:
+public:
     /// @brief Called on a library thread; must not block.
     using handler = std::function<void(std::string_view, reply_handle)>;
 
@@ -43,7 +43,7 @@
     /// @brief Bytes of requests and answers so far.
     std::uint64_t bytes() const;
 
-  private:
+private:
     struct state;
     std::unique_ptr<state> held;
 };
--- a/source/openai/batch_input.hpp
+++ b/source/openai/batch_input.hpp
@@ -12,7 +12,7 @@
 /// @brief A batch input file that can't be accepted; names the line.
 class bad_batch_input : public std::runtime_error
 {
-  public:
+public:
     using std::runtime_error::runtime_error;
 };
 
--- a/source/openai/completion_request.hpp
+++ b/source/openai/completion_request.hpp
@@ -11,7 +11,7 @@
 /// @brief A request body that isn't a valid completion request.
 class bad_completion : public std::runtime_error
 {
-  public:
+public:
     using std::runtime_error::runtime_error;
 };
 
--- a/source/operators/control_tool.hpp
+++ b/source/operators/control_tool.hpp
@@ -19,7 +19,7 @@
 /// conflict with another operator, 4 unknown.
 class control_tool
 {
-  public:
+public:
     control_tool(platform::key_value_store& store,
                  std::vector<std::string> coordinators, net::rpc_client& peers,
                  std::ostream& out);
@@ -32,7 +32,7 @@
     int jobs(const std::string& workspace);
     int retire(const std::string& keeper);
 
-  private:
+private:
     struct current_configuration
     {
         bool reachable = false;
--- a/source/platform/host_list.hpp
+++ b/source/platform/host_list.hpp
@@ -31,7 +31,7 @@
 /// @brief The platform's lagging list of live and leaving hosts.
 class host_list
 {
-  public:
+public:
     virtual ~host_list() = default;
 
     /// @brief The whole list, or nothing where it can't be had now.
--- a/source/platform/http_host_list.hpp
+++ b/source/platform/http_host_list.hpp
@@ -10,12 +10,12 @@
 /// @brief The host list over its HTTP interface, GET /v1/hosts.
 class http_host_list : public host_list
 {
-  public:
+public:
     explicit http_host_list(std::string address);
 
     std::optional<std::vector<listed_endpoint>> read() override;
 
-  private:
+private:
     std::string address;
 };
 
--- a/source/platform/http_key_value_store.hpp
+++ b/source/platform/http_key_value_store.hpp
@@ -13,7 +13,7 @@
 /// version in its query; /v1/watch waits for changes below a prefix.
 class http_key_value_store : public key_value_store
 {
-  public:
+public:
     explicit http_key_value_store(std::string address);
 
     store_answer read(std::string_view key) override;
@@ -22,7 +22,7 @@
     store_changes watch(std::string_view prefix, std::uint64_t after_revision,
                         std::chrono::milliseconds wait) override;
 
-  private:
+private:
     std::string address;
 };
 
--- a/source/platform/http_model_engine.cpp
+++ b/source/platform/http_model_engine.cpp
@@ -21,7 +21,7 @@
 
 class http_token_stream : public token_stream
 {
-  public:
+public:
     http_token_stream(const http::call& call, const generation& asked)
         : transfer(call), request(asked.request), next(asked.resume_from)
     {
@@ -42,7 +42,7 @@
 
     std::string_view detail() const override { return this->words; }
 
-  private:
+private:
     void parse(std::vector<token>& arrived)
     {
         if (this->transfer.result().status != status_ok)
--- a/source/platform/http_model_engine.hpp
+++ b/source/platform/http_model_engine.hpp
@@ -8,7 +8,7 @@
 /// @brief A model engine with completions streamed as server-sent events.
 class http_model_engine : public model_engine
 {
-  public:
+public:
     std::unique_ptr<token_stream>
     generate(std::string_view address, const generation& asked,
              std::chrono::milliseconds total_limit) override;
--- a/source/platform/key_value_store.hpp
+++ b/source/platform/key_value_store.hpp
@@ -47,7 +47,7 @@
 /// @brief The platform's key-value service: compare-and-swap and watches.
 class key_value_store
 {
-  public:
+public:
     virtual ~key_value_store() = default;
 
     virtual store_answer read(std::string_view key) = 0;
--- a/source/platform/model_engine.hpp
+++ b/source/platform/model_engine.hpp
@@ -52,7 +52,7 @@
 /// @brief A running generation.
 class token_stream
 {
-  public:
+public:
     virtual ~token_stream() = default;
 
     /// @brief Appends the tokens that arrive within a time.
@@ -66,7 +66,7 @@
 /// @brief A model engine that batches continuously.
 class model_engine
 {
-  public:
+public:
     virtual ~model_engine() = default;
 
     virtual std::unique_ptr<token_stream>
--- a/source/routing/canceller.hpp
+++ b/source/routing/canceller.hpp
@@ -15,13 +15,13 @@
 /// @brief Cancels generations on engines without holding up the caller.
 class canceller
 {
-  public:
+public:
     explicit canceller(platform::model_engine& engine);
     ~canceller();
 
     void cancel(std::string_view address, std::string_view request);
 
-  private:
+private:
     struct order
     {
         std::string address;
--- a/source/routing/claim_client.hpp
+++ b/source/routing/claim_client.hpp
@@ -21,7 +21,7 @@
 /// @brief Claims the keys of requests that may run at most once.
 class claim_client
 {
-  public:
+public:
     claim_client(core::milliseconds ask_limit, view_client& view,
                  net::rpc_client& peers, metrics::registry& metrics);
 
@@ -34,7 +34,7 @@
     /// @brief Gives a claim back under which no byte was sent.
     void release(const std::string& key, const std::string& attempt);
 
-  private:
+private:
     struct ask_result
     {
         core::claims::vote_state state;
--- a/source/routing/generation_run.cpp
+++ b/source/routing/generation_run.cpp
@@ -211,8 +211,8 @@
 {
     if (running.tokens < least_tokens_to_judge)
         return false;
-    double waited = static_cast<double>(
-        (monotonic_now() - running.last_token).count());
+    double waited =
+        static_cast<double>((monotonic_now() - running.last_token).count());
     double limit = std::max(running.usual_gap_ms * late_factor, least_late_ms);
     return waited > limit;
 }
--- a/source/routing/generation_run.hpp
+++ b/source/routing/generation_run.hpp
@@ -19,7 +19,7 @@
 /// @brief Repeats of calls, shared by all requests of a process.
 class shared_budget
 {
-  public:
+public:
     shared_budget(double share, double burst) : budget(share, burst) {}
 
     void earn()
@@ -34,7 +34,7 @@
         return this->budget.spend();
     }
 
-  private:
+private:
     std::mutex guard;
     core::limits::retry_budget budget;
 };
@@ -60,7 +60,7 @@
 /// the next token first goes on. Tokens are handed out once and in order.
 class generation_run
 {
-  public:
+public:
     enum class state
     {
         running,
@@ -93,7 +93,7 @@
     std::uint32_t received() const { return this->next; }
     const std::string& text() const { return this->text_so_far; }
 
-  private:
+private:
     struct attempt
     {
         slot_ptr slot;
--- a/source/routing/local_slots.hpp
+++ b/source/routing/local_slots.hpp
@@ -22,7 +22,7 @@
 /// queue.
 class local_slots : public slot_source
 {
-  public:
+public:
     /// @brief policy is "round_robin" or "least_outstanding".
     local_slots(std::string_view policy, std::string region, view_client& view,
                 net::rpc_client& peers);
@@ -33,7 +33,7 @@
 
     static bool is_policy(std::string_view name);
 
-  private:
+private:
     using chooser = std::size_t (local_slots::*)(
         const std::vector<core::messages::endpoint_address>& from);
     struct policy_row
--- a/source/routing/slot_client.hpp
+++ b/source/routing/slot_client.hpp
@@ -62,7 +62,7 @@
 /// @brief How a process comes by slots: a strategy with its baselines.
 class slot_source
 {
-  public:
+public:
     virtual ~slot_source() = default;
 
     virtual slot_result acquire(const slot_request& request) = 0;
@@ -78,7 +78,7 @@
 /// the fewest streams of this process, among those known last.
 class slot_client : public slot_source
 {
-  public:
+public:
     slot_client(std::string asker, std::string region, bool takes_yields,
                 view_client& view, net::rpc_client& peers,
                 metrics::registry& metrics);
@@ -93,7 +93,7 @@
     /// @brief Slots that are held now.
     std::size_t held_count() const;
 
-  private:
+private:
     struct group_state
     {
         std::string home;
--- a/source/routing/view_client.hpp
+++ b/source/routing/view_client.hpp
@@ -39,7 +39,7 @@
 /// platform's service plays no part.
 class view_client
 {
-  public:
+public:
     view_client(core::messages::member self,
                 std::vector<std::string> coordinators, net::rpc_client& peers,
                 metrics::registry& metrics);
@@ -56,7 +56,7 @@
     /// @brief Tells a coordinator that this process leaves.
     void leave();
 
-  private:
+private:
     void run();
     bool ask(const std::string& address);
     void fetch_configuration(const std::string& address);
--- a/source/settings/document.hpp
+++ b/source/settings/document.hpp
@@ -15,7 +15,7 @@
 /// @brief A refused settings file; the text starts with "file:line: key:".
 class settings_error : public std::runtime_error
 {
-  public:
+public:
     using std::runtime_error::runtime_error;
 };
 
@@ -40,7 +40,7 @@
 /// getter asked for, so that a misspelt key is never silently ignored.
 class document
 {
-  public:
+public:
     /// @brief Reads a file. Throws settings_error where it is no valid TOML.
     static document from_file(const std::string& path);
 
@@ -89,7 +89,7 @@
     /// @brief Throws where the file holds a key that nothing asked for.
     void finish() const;
 
-  private:
+private:
     struct state;
     explicit document(std::unique_ptr<state> parsed);
     std::unique_ptr<state> held;
--- a/tests/core/claim_schedule.hpp
+++ b/tests/core/claim_schedule.hpp
@@ -30,7 +30,7 @@
 /// messages that are late, lost or out of order, from a seed.
 class claim_schedule
 {
-  public:
+public:
     claim_schedule(std::uint64_t seed, claim_fault fault);
 
     /// @brief Runs the schedule; gives the keys that two attempts held.
@@ -39,7 +39,7 @@
     std::uint32_t granted() const { return this->grants; }
     std::uint32_t refused() const { return this->refusals; }
 
-  private:
+private:
     using keeper = core::claims::claim_keeper;
 
     struct attempt
--- a/tests/core/members_test.cpp
+++ b/tests/core/members_test.cpp
@@ -38,7 +38,7 @@
 /// @brief Tables that probe each other, some messages being lost.
 class gossip
 {
-  public:
+public:
     gossip(std::size_t count, std::uint64_t seed) : random(seed)
     {
         for (std::size_t index = 0; index < count; ++index)
@@ -85,7 +85,7 @@
     std::vector<bool> up;
     instant now{0};
 
-  private:
+private:
     bool lost(unsigned percent) { return this->random() % 100 < percent; }
 
     bool exchange(std::size_t from, std::size_t to, unsigned loss)
--- a/tests/fleet/child_process.hpp
+++ b/tests/fleet/child_process.hpp
@@ -12,7 +12,7 @@
 /// @brief A process that the fixture started; it is killed at the end.
 class child_process
 {
-  public:
+public:
     child_process(std::vector<std::string> command, std::string log_file);
     child_process(child_process&& other) noexcept;
     child_process& operator=(child_process&& other) noexcept;
@@ -29,7 +29,7 @@
     bool running();
     pid_t id() const { return this->pid; }
 
-  private:
+private:
     int wait(std::chrono::milliseconds limit);
 
     pid_t pid = -1;
--- a/tests/fleet/fleet.hpp
+++ b/tests/fleet/fleet.hpp
@@ -66,7 +66,7 @@
 /// @brief Starts the programs and the stand-ins on loopback ports.
 class fleet
 {
-  public:
+public:
     explicit fleet(fleet_plan plan);
     ~fleet();
 
@@ -108,7 +108,7 @@
     /// @brief Deletes a batch host's data, as on a replaced host.
     void clear_data(const node& host) const;
 
-  private:
+private:
     node make_node(const std::string& name, const site& place);
     void write_settings();
     std::string node_table(const node& one) const;
--- a/tests/process/batch_client.hpp
+++ b/tests/process/batch_client.hpp
@@ -13,7 +13,7 @@
 /// @brief A caller who sends one batch job and checks its output.
 class batch_client
 {
-  public:
+public:
     batch_client(fleet::fleet& running, std::uint32_t items,
                  std::uint32_t tokens);
 
@@ -39,7 +39,7 @@
 
     const std::string& job() const { return this->job_name; }
 
-  private:
+private:
     fleet::fleet& running;
     std::uint32_t items;
     std::uint32_t tokens;
--- a/tests/standins/standin_engine.cpp
+++ b/tests/standins/standin_engine.cpp
@@ -52,7 +52,7 @@
 /// @brief What all streams of the engine share.
 class engine
 {
-  public:
+public:
     std::mutex guard;
     std::condition_variable changed;
     switches now;
@@ -116,7 +116,7 @@
 /// @brief One generation, paced by the engine's occupancy.
 class generation : public http::body_source
 {
-  public:
+public:
     generation(engine& owner, json asked) : owner(owner)
     {
         this->request = asked.at("id").get<std::string>();
@@ -168,7 +168,7 @@
         return state::data;
     }
 
-  private:
+private:
     static bool take(int& switched)
     {
         if (switched <= 0)
--- a/tests/standins/standin_hosts.cpp
+++ b/tests/standins/standin_hosts.cpp
@@ -20,7 +20,7 @@
 /// PUT /admin takes {"hosts": [...], "lag_ms": n}.
 class hosts
 {
-  public:
+public:
     http::response handle(const http::request& asked)
     {
         std::lock_guard lock(this->guard);
@@ -40,7 +40,7 @@
         return standins::json_response(200, {{"hosts", this->listed}});
     }
 
-  private:
+private:
     std::mutex guard;
     std::deque<pending_list> pending;
     json listed = json::array();
--- a/tests/standins/standin_service.cpp
+++ b/tests/standins/standin_service.cpp
@@ -16,7 +16,7 @@
 /// GET /admin gives the runs by key.
 class service
 {
-  public:
+public:
     http::response handle(const http::request& asked)
     {
         if (asked.path == "/admin")
@@ -47,7 +47,7 @@
         return answer;
     }
 
-  private:
+private:
     struct lost_answer : http::body_source
     {
         state read(std::string&) override { return state::failed; }
--- a/tests/standins/standin_store.cpp
+++ b/tests/standins/standin_store.cpp
@@ -24,7 +24,7 @@
 /// GET /admin gives the number of calls.
 class store
 {
-  public:
+public:
     http::response handle(const http::request& asked)
     {
         if (asked.path == "/admin")
@@ -48,7 +48,7 @@
         return standins::json_response(400, {{"error", "no such call"}});
     }
 
-  private:
+private:
     static json entry(const std::string& key, const stored& value)
     {
         return {
