--- /dev/null
+++ b/source/batches/batch_client.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "batches/records.hpp"
+#include "batches/results.hpp"
+#include "host/host_runtime.hpp"
+
+namespace amaranthhatch::batches
+{
+
+/// @brief How a call for a job ended.
+enum class job_outcome : std::uint8_t
+{
+    done,
+    /// No such job or item.
+    missing,
+    /// The route's limit of waiting tokens doesn't allow the job.
+    over_limit,
+    /// Nothing was changed; to be tried again.
+    unavailable,
+    /// The call may have taken effect.
+    unknown
+};
+
+/// @brief The entries' way to the owners of jobs.
+class batch_client
+{
+public:
+    using outcome_callback = std::function<void(job_outcome)>;
+    using read_callback =
+        std::function<void(job_outcome, const read_answer& answer)>;
+    using body_callback =
+        std::function<void(job_outcome, const std::string& body)>;
+
+    explicit batch_client(host::host_runtime& runtime);
+
+    void submit(const core::batches::job& job, outcome_callback done);
+    void read(const std::string& job, std::uint32_t after,
+              core::milliseconds wait, read_callback done);
+    void read_body(const std::string& job, const std::string& item,
+                   body_callback done);
+    void end(const std::string& job, outcome_callback done);
+
+private:
+    struct request;
+    using answer_callback =
+        std::function<void(job_outcome, const std::string& body)>;
+
+    const core::peers::peer* owner_of(const std::string& job);
+    void call(std::shared_ptr<request> asked);
+    void retry(std::shared_ptr<request> asked, job_outcome otherwise);
+
+    host::host_runtime& runtime;
+    std::optional<core::batches::placement> placement;
+    std::uint64_t revision = 0;
+};
+
+} // namespace amaranthhatch::batches
--- /dev/null
+++ b/source/batches/batch_service.cpp
@@ -0,0 +1,384 @@
+#include "batches/batch_service.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+#include "batches/results.hpp"
+#include "core/hash.hpp"
+#include "host/boot_clock.hpp"
+#include "logging/event.hpp"
+
+namespace amaranthhatch::batches
+{
+
+namespace model = core::batches;
+
+namespace
+{
+
+constexpr core::milliseconds tick_interval{100};
+// The caller's attempt lasts some seconds; the entry must still be able to
+// say that the outcome isn't known.
+constexpr core::milliseconds commit_limit{2500};
+constexpr core::milliseconds expiry_interval{1000};
+constexpr std::size_t read_bytes = 900u << 10;
+// Jobs are kept a little longer than callers may ask for them.
+constexpr core::milliseconds expiry_margin{10000};
+constexpr std::string_view jobs_prefix = "/jobs";
+
+std::int64_t number_of(std::string_view text)
+{
+    std::int64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+} // namespace
+
+batch_service::batch_service(host::host_runtime& runtime, disk_log& disk,
+                             forward::call_names names)
+    : runtime(runtime), jobs(disk, 0),
+      placement(runtime, this->jobs,
+                [this](const std::string& job) { this->on_commit(job); }),
+      scheduler(runtime, this->placement, this->jobs, std::move(names)),
+      timer(runtime.event_loop())
+{
+    runtime.serve("/batches/append", [this](exchange_ptr exchange)
+                  { this->on_append(exchange); });
+    runtime.serve("/batches/reconcile", [this](exchange_ptr exchange)
+                  { this->on_reconcile(exchange); });
+    runtime.serve(std::string(jobs_prefix), [this](exchange_ptr exchange)
+                  { this->on_jobs(exchange); });
+    runtime.extend_beacon([this](core::peers::beacon& out)
+                          { out.backlogs = this->scheduler.backlogs(); });
+    runtime.on_beacon([this] { this->scheduler.pump(); });
+    runtime.on_change(host::copied_part::own,
+                      [this] { this->placement.tick(); });
+}
+
+void batch_service::start()
+{
+    this->schedule_tick();
+}
+
+void batch_service::stop()
+{
+    this->stopped = true;
+    this->timer.cancel();
+    this->scheduler.stop();
+}
+
+void batch_service::apply(
+    std::shared_ptr<const core::routes::route_table> table)
+{
+    this->scheduler.apply(std::move(table));
+}
+
+void batch_service::set_retiring(std::set<std::string> hosts)
+{
+    this->placement.set_retiring(std::move(hosts));
+}
+
+void batch_service::schedule_tick()
+{
+    this->timer.expires_after(tick_interval);
+    this->timer.async_wait(
+        [this](boost::system::error_code error)
+        {
+            if (error || this->stopped)
+                return;
+            this->tick();
+            this->schedule_tick();
+        });
+}
+
+void batch_service::tick()
+{
+    this->placement.tick();
+    this->scheduler.pump();
+    this->expire_waiting();
+    auto now = host::boot_now();
+    if (now < this->next_expiry)
+        return;
+    this->next_expiry = now + expiry_interval;
+    this->expire_jobs();
+    this->jobs.compact_if_large();
+}
+
+void batch_service::on_append(const exchange_ptr& exchange)
+{
+    auto call = unpack_append(exchange->asked().body);
+    if (!call)
+        return exchange->respond(400, {}, "unreadable append\n");
+    this->jobs.answer(*call, [exchange](const append_answer& answer)
+                      { exchange->respond(200, {}, pack(answer)); });
+}
+
+void batch_service::on_reconcile(const exchange_ptr& exchange)
+{
+    auto call = unpack_reconcile(exchange->asked().body);
+    if (!call)
+        return exchange->respond(400, {}, "unreadable reconcile\n");
+    exchange->respond(200, {}, pack(this->jobs.answer(*call)));
+}
+
+void batch_service::on_jobs(const exchange_ptr& exchange)
+{
+    const auto& asked = exchange->asked();
+    std::string_view rest(asked.path);
+    rest.remove_prefix(jobs_prefix.size());
+    if (rest.empty() && asked.method == "POST")
+        return this->submit(exchange);
+    rest.remove_prefix(rest.empty() ? 0 : 1);
+    auto slash = rest.find('/');
+    std::string job(rest.substr(0, slash));
+    auto part = slash == rest.npos ? std::string_view() : rest.substr(slash);
+    if (asked.method == "DELETE")
+        return this->end(job, exchange);
+    if (part == "/results")
+        return this->read(job, exchange);
+    if (part == "/body")
+        return this->read_body(job, exchange);
+    exchange->respond(400, {}, "no such call\n");
+}
+
+void batch_service::submit(const exchange_ptr& exchange)
+{
+    auto job = unpack_job(exchange->asked().body);
+    if (!job)
+        return exchange->respond(400, {}, "unreadable job\n");
+    auto owner = this->placement.owner_of(job->id);
+    if (!owner || !owner->serving())
+        return exchange->respond(421, {}, "not the owner\n");
+    const auto* log = this->jobs.find(job->id);
+    bool known = log != nullptr && log->submitted() != nullptr;
+    if (known && owner->committed(job->id) > 0)
+        return exchange->respond(202, {}, {});
+    if (!known)
+    {
+        // Without the lease another owner may hold the job already, and its
+        // count of what waits isn't known.
+        if (!owner->holds_lease() || !owner->recovered())
+            return exchange->respond(503, {}, "no lease\n");
+        if (this->over_limit(*job))
+            return exchange->respond(429, {}, "over the route's limit\n");
+    }
+    this->submissions.push_back(
+        {job->id, exchange, host::boot_now() + commit_limit});
+    if (!known)
+        this->accept(std::move(*job), exchange);
+}
+
+bool batch_service::over_limit(const model::job& job) const
+{
+    const auto* route = this->scheduler.route_of(job);
+    if (route == nullptr || route->backlog_tokens == 0)
+        return false;
+    std::uint64_t wanted = 0;
+    for (const auto& item : job.items)
+        wanted += item.tokens;
+    auto now = host::boot_now();
+    auto waiting = this->scheduler.backlog_tokens(route->name) +
+                   this->runtime.peers().backlog_tokens(
+                       core::hash(route->name), now);
+    return waiting + wanted > route->backlog_tokens;
+}
+
+void batch_service::accept(model::job&& job, const exchange_ptr&)
+{
+    auto owner = this->placement.owner_of(job.id);
+    auto made = std::make_shared<model::record>();
+    made->kind = model::record_kind::accepted;
+    made->epoch = owner->epoch();
+    auto id = job.id;
+    logging::event(logging::level::info, "job_submitted")
+        .with("job", id)
+        .with("items", static_cast<std::int64_t>(job.items.size()))
+        .with("epoch", static_cast<std::int64_t>(owner->epoch()));
+    made->accepted = std::make_shared<const model::job>(std::move(job));
+    owner->add(id, {std::move(made)});
+    this->runtime.load_changed();
+}
+
+void batch_service::on_commit(const std::string& job)
+{
+    auto owner = this->placement.owner_of(job);
+    if (!owner)
+        return;
+    auto count = owner->committed(job);
+    for (auto at = this->submissions.begin(); at != this->submissions.end();)
+    {
+        bool ours = at->job == job && count > 0;
+        if (ours)
+            at->exchange->respond(202, {}, {});
+        at = ours ? this->submissions.erase(at) : std::next(at);
+    }
+    for (auto at = this->ends.begin(); at != this->ends.end();)
+    {
+        bool ours = at->job == job && count >= at->records;
+        if (ours)
+            at->exchange->respond(200, {}, {});
+        at = ours ? this->ends.erase(at) : std::next(at);
+    }
+    for (auto at = this->reads.begin(); at != this->reads.end();)
+    {
+        bool answered =
+            at->job == job &&
+            this->answer_results(at->job, at->after, *at->exchange, false);
+        at = answered ? this->reads.erase(at) : std::next(at);
+    }
+    this->scheduler.pump();
+}
+
+std::shared_ptr<partition_owner>
+batch_service::readable(std::string_view job, http::server_exchange& exchange)
+{
+    auto owner = this->placement.owner_of(job);
+    if (!owner || !owner->serving())
+    {
+        exchange.respond(421, {}, "not the owner\n");
+        return nullptr;
+    }
+    if (!owner->recovered() || !owner->holds_lease())
+    {
+        exchange.respond(503, {}, "not sure yet\n");
+        return nullptr;
+    }
+    return owner;
+}
+
+void batch_service::read(const std::string& job, const exchange_ptr& exchange)
+{
+    if (!this->readable(job, *exchange))
+        return;
+    const auto& asked = exchange->asked();
+    auto after = static_cast<std::uint32_t>(
+        number_of(http::query_value(asked.query, "after")));
+    auto wait = number_of(http::query_value(asked.query, "wait"));
+    bool answered = this->answer_results(job, after, *exchange, wait <= 0);
+    if (!answered)
+        this->reads.push_back({job, after, exchange,
+                               host::boot_now() + core::milliseconds(wait)});
+}
+
+bool batch_service::answer_results(const std::string& job, std::uint32_t after,
+                                   http::server_exchange& exchange, bool waited)
+{
+    auto owner = this->placement.owner_of(job);
+    const auto* log = this->jobs.find(job);
+    if (!owner || log == nullptr || log->submitted() == nullptr ||
+        owner->committed(job) == 0)
+    {
+        bool sure = owner && owner->recovered() && owner->holds_lease() &&
+                    log == nullptr;
+        exchange.respond(sure ? 404 : 503, {}, "no such job\n");
+        return true;
+    }
+    auto listed = log->results_within(owner->committed(job));
+    auto total = static_cast<std::uint32_t>(log->submitted()->items.size());
+    bool nothing = after >= listed;
+    bool complete = log->closed() && listed == log->finished_count();
+    if (nothing && !waited && !complete)
+        return false;
+    read_answer out{total, {}};
+    std::size_t bytes = 0;
+    for (auto at = after; at < listed; at++)
+    {
+        const auto& result = log->result_at(at);
+        bytes += result.text.size();
+        if (!out.results.empty() && bytes > read_bytes)
+            break;
+        out.results.push_back({log->submitted()->items[result.item].id,
+                               result.state == model::item_state::done,
+                               result.text});
+    }
+    exchange.respond(200, {}, pack(out));
+    return true;
+}
+
+void batch_service::read_body(const std::string& job,
+                              const exchange_ptr& exchange)
+{
+    if (!this->readable(job, *exchange))
+        return;
+    const auto* log = this->jobs.find(job);
+    if (log == nullptr || log->submitted() == nullptr)
+        return exchange->respond(404, {}, "no such job\n");
+    auto id = http::query_value(exchange->asked().query, "item");
+    for (const auto& item : log->submitted()->items)
+        if (item.id == id)
+            return exchange->respond(200, {}, item.body);
+    exchange->respond(404, {}, "no such item\n");
+}
+
+void batch_service::end(const std::string& job, const exchange_ptr& exchange)
+{
+    auto owner = this->readable(job, *exchange);
+    if (!owner)
+        return;
+    const auto* log = this->jobs.find(job);
+    if (log == nullptr || log->submitted() == nullptr)
+        return exchange->respond(404, {}, "no such job\n");
+    if (!log->ended())
+    {
+        auto made = std::make_shared<model::record>();
+        made->kind = model::record_kind::ended;
+        made->epoch = owner->epoch();
+        owner->add(job, {std::move(made)});
+        this->scheduler.end_job(job);
+        logging::event(logging::level::info, "job_ended").with("job", job);
+    }
+    auto records = log->records().size();
+    if (owner->committed(job) >= records)
+        return exchange->respond(200, {}, {});
+    this->ends.push_back(
+        {job, records, exchange, host::boot_now() + commit_limit});
+}
+
+void batch_service::expire_waiting()
+{
+    auto now = host::boot_now();
+    for (auto at = this->submissions.begin(); at != this->submissions.end();)
+    {
+        bool late = now > at->due;
+        if (late)
+            at->exchange->respond(504, {}, "outcome unknown\n");
+        at = late ? this->submissions.erase(at) : std::next(at);
+    }
+    for (auto at = this->ends.begin(); at != this->ends.end();)
+    {
+        bool late = now > at->due;
+        if (late)
+            at->exchange->respond(504, {}, "outcome unknown\n");
+        at = late ? this->ends.erase(at) : std::next(at);
+    }
+    for (auto at = this->reads.begin(); at != this->reads.end();)
+    {
+        bool late = now > at->due;
+        if (late && this->readable(at->job, *at->exchange))
+            this->answer_results(at->job, at->after, *at->exchange, true);
+        at = late ? this->reads.erase(at) : std::next(at);
+    }
+}
+
+void batch_service::expire_jobs()
+{
+    auto wall = host::wall_now_ms();
+    auto kept = this->runtime.settings().job_status + expiry_margin;
+    for (const auto& [partition, owner] : this->placement.owned())
+    {
+        if (!owner->recovered())
+            continue;
+        for (const auto& id : this->jobs.jobs_of(partition))
+        {
+            const auto* log = this->jobs.find(id);
+            const auto* job = log->submitted();
+            bool old = job != nullptr && log->closed() &&
+                       wall > job->submitted_ms + kept.count();
+            if (old)
+                owner->expire(id);
+        }
+    }
+}
+
+} // namespace amaranthhatch::batches
--- /dev/null
+++ b/source/batches/batch_service.hpp
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <list>
+#include <memory>
+#include <set>
+#include <string>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "batches/disk_log.hpp"
+#include "batches/item_scheduler.hpp"
+#include "batches/job_store.hpp"
+#include "batches/placement_agent.hpp"
+#include "forward/call_names.hpp"
+#include "host/host_runtime.hpp"
+
+namespace amaranthhatch::batches
+{
+
+/// @brief Keeps and runs batch jobs on a host with a disk.
+///
+/// Answers the entries' calls for jobs whose partition it owns, and the other
+/// disk hosts' appends.
+class batch_service
+{
+public:
+    batch_service(host::host_runtime& runtime, disk_log& disk,
+                  forward::call_names names);
+
+    void start();
+    void stop();
+
+    void apply(std::shared_ptr<const core::routes::route_table> table);
+
+    /// @brief Hosts whose disks are to be emptied.
+    void set_retiring(std::set<std::string> hosts);
+
+    /// @brief True where this host's disk holds no copy any more.
+    bool emptied() const { return this->placement.emptied(); }
+
+private:
+    using exchange_ptr = std::shared_ptr<http::server_exchange>;
+
+    struct submission
+    {
+        std::string job;
+        exchange_ptr exchange;
+        core::instant due{};
+    };
+
+    struct waiting_read
+    {
+        std::string job;
+        std::uint32_t after = 0;
+        exchange_ptr exchange;
+        core::instant due{};
+    };
+
+    struct waiting_end
+    {
+        std::string job;
+        std::uint64_t records = 0;
+        exchange_ptr exchange;
+        core::instant due{};
+    };
+
+    void tick();
+    void schedule_tick();
+    void on_append(const exchange_ptr& exchange);
+    void on_reconcile(const exchange_ptr& exchange);
+    void on_jobs(const exchange_ptr& exchange);
+    void submit(const exchange_ptr& exchange);
+    void accept(core::batches::job&& job, const exchange_ptr& exchange);
+    bool over_limit(const core::batches::job& job) const;
+    void read(const std::string& job, const exchange_ptr& exchange);
+    void read_body(const std::string& job, const exchange_ptr& exchange);
+    void end(const std::string& job, const exchange_ptr& exchange);
+    bool answer_results(const std::string& job, std::uint32_t after,
+                        http::server_exchange& exchange, bool waited);
+    std::shared_ptr<partition_owner> readable(std::string_view job,
+                                              http::server_exchange& exchange);
+    void on_commit(const std::string& job);
+    void expire_waiting();
+    void expire_jobs();
+
+    host::host_runtime& runtime;
+    job_store jobs;
+    placement_agent placement;
+    item_scheduler scheduler;
+    boost::asio::steady_timer timer;
+    std::list<submission> submissions;
+    std::list<waiting_read> reads;
+    std::list<waiting_end> ends;
+    core::instant next_expiry{};
+    bool stopped = false;
+};
+
+} // namespace amaranthhatch::batches
--- /dev/null
+++ b/source/batches/disk_log.hpp
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+namespace amaranthhatch::batches
+{
+
+/// @brief An append-only log of frames whose writes are flushed in groups.
+///
+/// A thread of its own writes and syncs, so that the event loop never waits
+/// for the disk. Frames carry a checksum; reading stops at the first one that
+/// is torn, behind which nothing was reported as stored.
+class disk_log
+{
+public:
+    using frame_callback = std::function<void(std::string_view)>;
+
+    /// @brief Opens the log in a folder, creating what is missing.
+    ///
+    /// Throws errors::failure if the folder can't be used.
+    disk_log(boost::asio::io_context& loop, std::string folder);
+    ~disk_log();
+    disk_log(const disk_log&) = delete;
+    disk_log& operator=(const disk_log&) = delete;
+
+    /// @brief The identity of the disk, made when the folder was empty.
+    const std::string& identity() const { return this->disk_identity; }
+
+    /// @brief Reads all frames back; to be called before the first append.
+    void replay(const frame_callback& frame);
+
+    /// @brief Stores frames and calls back on the loop once they are synced.
+    void append(std::vector<std::string> frames, std::function<void()> stored);
+
+    /// @brief Starts a new file with these frames and drops the older ones.
+    void compact(std::vector<std::string> frames);
+
+    /// @brief Bytes in the current file.
+    std::uint64_t size() const { return this->written_bytes; }
+
+private:
+    struct batch
+    {
+        std::string bytes;
+        std::vector<std::function<void()>> stored;
+        bool starts_file = false;
+    };
+
+    void read_identity();
+    void open_file(std::uint64_t number);
+    void run();
+    void write(batch& group);
+    void sync_folder() const;
+    std::string path_of(std::uint64_t number) const;
+    std::vector<std::uint64_t> files() const;
+
+    boost::asio::io_context& loop;
+    std::string folder;
+    std::string disk_identity;
+    std::uint64_t file_number = 1;
+    int file = -1;
+    std::uint64_t written_bytes = 0;
+    std::mutex guard;
+    std::condition_variable arrived;
+    std::deque<batch> waiting;
+    bool stopping = false;
+    std::thread writer;
+};
+
+} // namespace amaranthhatch::batches
--- /dev/null
+++ b/source/batches/item_scheduler.cpp
@@ -0,0 +1,313 @@
+#include "batches/item_scheduler.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include "batches/item_run.hpp"
+#include "core/hash.hpp"
+#include "host/boot_clock.hpp"
+#include "logging/event.hpp"
+
+namespace amaranthhatch::batches
+{
+
+namespace model = core::batches;
+
+namespace
+{
+
+// A failed item waits for about the time in which an endpoint recovers from
+// a short disturbance.
+constexpr core::milliseconds failure_pause{300};
+// Slots left free on each endpoint, so that an online request that comes
+// within a beacon's way finds one.
+constexpr std::uint32_t slot_reserve = 1;
+
+} // namespace
+
+item_scheduler::item_scheduler(host::host_runtime& runtime,
+                               placement_agent& placement, job_store& jobs,
+                               forward::call_names names)
+    : runtime(runtime), placement(placement), jobs(jobs),
+      names(std::move(names))
+{
+}
+
+item_scheduler::~item_scheduler() = default;
+
+void item_scheduler::apply(
+    std::shared_ptr<const core::routes::route_table> newer)
+{
+    if (!this->table || newer->version() > this->table->version())
+        this->table = std::move(newer);
+}
+
+const core::routes::route*
+item_scheduler::route_of(const model::job& of) const
+{
+    if (!this->table)
+        return nullptr;
+    const auto* found = this->table->match(of.authority, of.path);
+    bool batch = found != nullptr &&
+                 found->kind == core::routes::route_kind::batch;
+    return batch ? found : nullptr;
+}
+
+item_progress& item_scheduler::progress_of(const std::string& job,
+                                           std::uint32_t item)
+{
+    return this->progress[job][item];
+}
+
+std::vector<core::peers::backlog> item_scheduler::backlogs() const
+{
+    std::map<std::uint64_t, std::uint64_t> sums;
+    for (const auto& [partition, owner] : this->placement.owned())
+        for (const auto& id : this->jobs.jobs_of(partition))
+        {
+            const auto* log = this->jobs.find(id);
+            const auto* route = log->submitted() == nullptr
+                                    ? nullptr
+                                    : this->route_of(*log->submitted());
+            if (route != nullptr)
+                sums[core::hash(route->name)] += log->open_tokens();
+        }
+    std::vector<core::peers::backlog> out;
+    for (const auto& [route, tokens] : sums)
+        if (tokens > 0)
+            out.push_back({route, tokens});
+    return out;
+}
+
+std::uint64_t item_scheduler::backlog_tokens(std::string_view route) const
+{
+    for (const auto& each : this->backlogs())
+        if (each.route == core::hash(route))
+            return each.tokens;
+    return 0;
+}
+
+void item_scheduler::pump()
+{
+    if (this->pumping || this->stopped)
+        return;
+    this->pumping = true;
+    this->yield_slots();
+    this->start_items();
+    this->pumping = false;
+}
+
+void item_scheduler::yield_slots()
+{
+    auto now = host::boot_now();
+    std::map<std::string, std::vector<std::shared_ptr<item_run>>> by_endpoint;
+    for (const auto& run : std::vector(this->runs))
+    {
+        auto owner = this->placement.owner_of(run->job());
+        if (!owner || !owner->serving())
+            run->yield("not the owner");
+        else if (run->stalled(now))
+            run->yield("stalled");
+        else
+            by_endpoint[run->endpoint()].push_back(run);
+    }
+    auto& endpoints = this->runtime.endpoints();
+    for (auto& [id, list] : by_endpoint)
+    {
+        auto excess = endpoints.excess(id);
+        if (excess == 0)
+            continue;
+        // Each host gives up its share of the runs that are too many.
+        auto theirs = this->runtime.peers().load(core::hash(id)).batch;
+        double total = static_cast<double>(list.size()) + theirs;
+        auto share = static_cast<std::size_t>(
+            std::ceil(excess * static_cast<double>(list.size()) / total));
+        std::sort(list.begin(), list.end(),
+                  [](const auto& left, const auto& right)
+                  { return left->new_events() < right->new_events(); });
+        for (std::size_t at = 0; at < std::min(share, list.size()); at++)
+            list[at]->yield("online");
+    }
+}
+
+void item_scheduler::add_candidates(const model::job_log& log,
+                                    core::instant now,
+                                    std::vector<candidate>& out)
+{
+    const auto& job = *log.submitted();
+    const auto* route = this->route_of(job);
+    auto wall = host::wall_now_ms();
+    std::vector<std::uint32_t> given_up;
+    for (std::uint32_t item = 0; item < job.items.size(); item++)
+    {
+        if (log.finished(item))
+            continue;
+        auto& state = this->progress[job.id][item];
+        if (state.running)
+            continue;
+        bool expired =
+            route == nullptr ||
+            (route->retention.count() > 0 &&
+             wall > job.submitted_ms + route->retention.count());
+        if (expired)
+        {
+            given_up.push_back(item);
+            continue;
+        }
+        if (now < state.retry_at)
+            continue;
+        auto due = job.submitted_ms + route->completion_target.count();
+        out.push_back({job.id, item, route, wall > due, due});
+    }
+    for (auto item : given_up)
+        this->give_up(job.id, item, route == nullptr ? "no route" : "too old");
+}
+
+std::vector<item_scheduler::candidate>
+item_scheduler::candidates(core::instant now)
+{
+    std::vector<candidate> out;
+    for (const auto& [partition, owner] : this->placement.owned())
+    {
+        if (!owner->serving() || !owner->holds_lease())
+            continue;
+        for (const auto& id : this->jobs.jobs_of(partition))
+        {
+            const auto* log = this->jobs.find(id);
+            bool open = log->submitted() != nullptr && !log->closed() &&
+                        owner->committed(id) > 0;
+            if (open)
+                this->add_candidates(*log, now, out);
+        }
+    }
+    // Jobs that can still be on time go before those that are late.
+    std::stable_sort(out.begin(), out.end(),
+                     [](const candidate& left, const candidate& right)
+                     {
+                         if (left.late != right.late)
+                             return right.late;
+                         return left.due_ms < right.due_ms;
+                     });
+    return out;
+}
+
+void item_scheduler::start_items()
+{
+    if (!this->table)
+        return;
+    auto now = host::boot_now();
+    for (const auto& next : this->candidates(now))
+        if (!this->start_item(next, now))
+            return;
+}
+
+bool item_scheduler::start_item(const candidate& next, core::instant now)
+{
+    auto service =
+        core::routes::select_service(*next.route, host::uniform());
+    auto chosen = this->runtime.endpoints().choose_batch(
+        service, slot_reserve, now, host::uniform());
+    if (chosen.chosen == nullptr)
+        return false;
+    const auto* log = this->jobs.find(next.job);
+    const auto& job = *log->submitted();
+    this->progress[next.job][next.item].running = true;
+    auto run = std::make_shared<item_run>(*this, next.job, next.item,
+                                          job.items[next.item], job.authority,
+                                          *chosen.chosen);
+    this->runs.push_back(run);
+    run->start();
+    return true;
+}
+
+void item_scheduler::on_run_end(const std::shared_ptr<item_run>& run)
+{
+    std::erase(this->runs, run);
+    auto& state = this->progress[run->job()][run->item()];
+    state.running = false;
+    switch (run->result())
+    {
+    case item_run::ending::whole:
+    {
+        std::string text;
+        for (std::size_t at = 0; at < state.data.size(); at++)
+        {
+            if (at > 0)
+                text += '\n';
+            text += state.data[at];
+        }
+        this->store_result(run->job(), run->item(), model::item_state::done,
+                           std::move(text));
+        break;
+    }
+    case item_run::ending::impossible:
+        this->give_up(run->job(), run->item(), "impossible");
+        break;
+    case item_run::ending::failed:
+    {
+        state.failures++;
+        state.data.clear();
+        state.last_id.clear();
+        state.retry_at = host::boot_now() + failure_pause;
+        const auto* log = this->jobs.find(run->job());
+        const auto* route = log == nullptr || log->submitted() == nullptr
+                                ? nullptr
+                                : this->route_of(*log->submitted());
+        if (route != nullptr && state.failures >= route->max_attempts)
+            this->give_up(run->job(), run->item(), "attempts used up");
+        break;
+    }
+    case item_run::ending::again:
+    case item_run::ending::running:
+        break;
+    }
+    this->pump();
+}
+
+void item_scheduler::give_up(const std::string& job, std::uint32_t item,
+                             std::string_view reason)
+{
+    logging::event(logging::level::info, "item_given_up")
+        .with("job", job)
+        .with("item", static_cast<std::int64_t>(item))
+        .with("reason", reason);
+    this->store_result(job, item, model::item_state::given_up, {});
+}
+
+void item_scheduler::store_result(const std::string& job, std::uint32_t item,
+                                  model::item_state state, std::string text)
+{
+    auto owner = this->placement.owner_of(job);
+    const auto* log = this->jobs.find(job);
+    bool ours = owner && owner->serving() && log != nullptr &&
+                !log->finished(item) && !log->ended();
+    this->progress[job].erase(item);
+    if (!ours)
+        return;
+    auto made = std::make_shared<model::record>();
+    made->kind = model::record_kind::result;
+    made->epoch = owner->epoch();
+    made->item = item;
+    made->state = state;
+    made->text = std::move(text);
+    owner->add(job, {std::move(made)});
+    if (log->closed())
+        this->progress.erase(job);
+}
+
+void item_scheduler::end_job(const std::string& job)
+{
+    for (const auto& run : std::vector(this->runs))
+        if (run->job() == job)
+            run->yield("job ended");
+    this->progress.erase(job);
+}
+
+void item_scheduler::stop()
+{
+    this->stopped = true;
+    for (const auto& run : std::vector(this->runs))
+        run->yield("stopping");
+}
+
+} // namespace amaranthhatch::batches
--- /dev/null
+++ b/source/batches/item_scheduler.hpp
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "batches/placement_agent.hpp"
+#include "core/routes/route_table.hpp"
+#include "forward/call_names.hpp"
+#include "host/host_runtime.hpp"
+
+namespace amaranthhatch::batches
+{
+
+class item_run;
+
+/// @brief What is known of an item that has no result yet.
+struct item_progress
+{
+    bool running = false;
+    std::uint32_t failures = 0;
+    /// Data of the whole events so far, and the id of the last one.
+    std::vector<std::string> data;
+    std::string last_id;
+    core::instant retry_at{};
+};
+
+/// @brief Runs the items of owned jobs on the slots that online work leaves.
+class item_scheduler
+{
+public:
+    item_scheduler(host::host_runtime& runtime, placement_agent& placement,
+                   job_store& jobs, forward::call_names names);
+    ~item_scheduler();
+
+    void apply(std::shared_ptr<const core::routes::route_table> table);
+
+    /// @brief Starts items on free slots and makes way where there are none.
+    void pump();
+
+    /// @brief Ends the runs of a job that its caller ended.
+    void end_job(const std::string& job);
+
+    /// @brief Ends all runs, as this host stops.
+    void stop();
+
+    /// @brief Tokens of open items on each route, for the beacon.
+    std::vector<core::peers::backlog> backlogs() const;
+
+    /// @brief Tokens of this host's open items on one route.
+    std::uint64_t backlog_tokens(std::string_view route) const;
+
+    const core::routes::route* route_of(const core::batches::job& of) const;
+    const core::routes::route_table* routes() const
+    {
+        return this->table.get();
+    }
+
+    std::size_t running() const { return this->runs.size(); }
+
+private:
+    friend class item_run;
+
+    struct candidate
+    {
+        std::string job;
+        std::uint32_t item = 0;
+        const core::routes::route* route = nullptr;
+        bool late = false;
+        std::int64_t due_ms = 0;
+    };
+
+    void yield_slots();
+    void start_items();
+    std::vector<candidate> candidates(core::instant now);
+    void add_candidates(const core::batches::job_log& log, core::instant now,
+                        std::vector<candidate>& out);
+    bool start_item(const candidate& next, core::instant now);
+    void give_up(const std::string& job, std::uint32_t item,
+                 std::string_view reason);
+    void store_result(const std::string& job, std::uint32_t item,
+                      core::batches::item_state state, std::string text);
+    void on_run_end(const std::shared_ptr<item_run>& run);
+    item_progress& progress_of(const std::string& job, std::uint32_t item);
+
+    host::host_runtime& runtime;
+    placement_agent& placement;
+    job_store& jobs;
+    forward::call_names names;
+    std::shared_ptr<const core::routes::route_table> table;
+    std::map<std::string, std::map<std::uint32_t, item_progress>> progress;
+    std::vector<std::shared_ptr<item_run>> runs;
+    bool pumping = false;
+    bool stopped = false;
+};
+
+} // namespace amaranthhatch::batches
--- /dev/null
+++ b/source/batches/partition_owner.cpp
@@ -0,0 +1,452 @@
+#include "batches/partition_owner.hpp"
+
+#include <algorithm>
+
+#include "batches/timing.hpp"
+#include "host/boot_clock.hpp"
+#include "http/whole_call.hpp"
+#include "logging/event.hpp"
+
+namespace amaranthhatch::batches
+{
+
+namespace model = core::batches;
+
+namespace
+{
+
+// One append carries about this much, so that a copy that catches up does not
+// hold up new records behind one long call.
+constexpr std::size_t append_bytes = 512u << 10;
+constexpr core::milliseconds append_limit{2000};
+constexpr core::milliseconds reconcile_limit{1000};
+constexpr core::milliseconds retry_pause{100};
+
+std::size_t record_bytes(const model::record& one)
+{
+    std::size_t bytes = one.text.size() + 64;
+    if (one.accepted)
+        for (const auto& item : one.accepted->items)
+            bytes += item.body.size() + 256;
+    return bytes;
+}
+
+} // namespace
+
+partition_owner::partition_owner(host::host_runtime& runtime, job_store& jobs,
+                                 std::size_t partition,
+                                 model::partition_place place,
+                                 commit_callback committed)
+    : runtime(runtime), jobs(jobs), partition(partition),
+      place(std::move(place)), on_commit(std::move(committed))
+{
+}
+
+void partition_owner::start()
+{
+    this->started = host::boot_now();
+    this->jobs.raise_epoch(this->partition, this->place.epoch);
+    for (const auto& disk : this->place.copies)
+        if (disk != this->jobs.disk_identity())
+            this->copies[disk];
+    this->tick();
+}
+
+void partition_owner::stop()
+{
+    this->stopped = true;
+    this->accepts = false;
+}
+
+bool partition_owner::holds_lease() const
+{
+    auto now = host::boot_now();
+    for (const auto& disk : this->place.copies)
+    {
+        if (disk == this->jobs.disk_identity())
+            continue;
+        const auto* peer = this->runtime.peers().find_disk(disk, now);
+        if (peer == nullptr || now - peer->echoed > lease_time)
+            return false;
+    }
+    return !this->stopped;
+}
+
+std::uint64_t partition_owner::committed(std::string_view job) const
+{
+    auto found = this->committed_counts.find(job);
+    return found == this->committed_counts.end() ? 0 : found->second;
+}
+
+std::uint64_t partition_owner::stored_everywhere(std::string_view job) const
+{
+    auto count = this->jobs.synced(job);
+    for (const auto& disk : this->place.copies)
+    {
+        if (disk == this->jobs.disk_identity())
+            continue;
+        auto copy = this->copies.find(disk);
+        if (copy == this->copies.end())
+            return 0;
+        auto stored = copy->second.stored.find(job);
+        if (stored == copy->second.stored.end())
+            return 0;
+        count = std::min(count, stored->second);
+    }
+    return count;
+}
+
+void partition_owner::add(const std::string& job,
+                          std::vector<model::record_ptr> records)
+{
+    auto self = this->shared_from_this();
+    this->jobs.add(job, std::move(records),
+                   [self, job]
+                   {
+                       if (!self->stopped)
+                           self->check_committed(job);
+                   });
+    this->note_behind(job);
+}
+
+void partition_owner::note_behind(const std::string& job)
+{
+    std::vector<std::string> disks;
+    for (auto& [disk, copy] : this->copies)
+    {
+        copy.behind.insert(job);
+        disks.push_back(disk);
+    }
+    for (const auto& disk : disks)
+        this->send(disk);
+}
+
+void partition_owner::expire(const std::string& job)
+{
+    this->jobs.forget(job);
+    this->committed_counts.erase(job);
+    this->unsettled.erase(job);
+    for (auto& [disk, copy] : this->copies)
+    {
+        copy.behind.erase(job);
+        copy.stored.erase(job);
+        copy.expired.insert(job);
+    }
+}
+
+void partition_owner::teach(const std::string& disk)
+{
+    if (this->learning_disk == disk)
+        return;
+    if (!this->learning_disk.empty() &&
+        !this->place.holds(this->learning_disk))
+        this->copies.erase(this->learning_disk);
+    this->learning_disk = disk;
+    if (!disk.empty())
+        this->copies[disk];
+    this->tick();
+}
+
+bool partition_owner::learner_ready() const
+{
+    auto found = this->copies.find(this->learning_disk);
+    return found != this->copies.end() && this->accepts &&
+           found->second.phase == copy_phase::known &&
+           found->second.behind.empty() && !found->second.sending;
+}
+
+void partition_owner::set_copies(std::vector<std::string> listed)
+{
+    this->place.copies = std::move(listed);
+    if (this->place.holds(this->learning_disk))
+        this->learning_disk.clear();
+    std::erase_if(this->copies,
+                  [this](const auto& each)
+                  {
+                      return !this->place.holds(each.first) &&
+                             each.first != this->learning_disk;
+                  });
+    for (const auto& disk : this->place.copies)
+        if (disk != this->jobs.disk_identity())
+            this->copies[disk];
+    this->check_all_committed();
+    this->tick();
+}
+
+void partition_owner::call(
+    const std::string& disk, std::string path, std::string body,
+    core::milliseconds limit,
+    std::function<void(std::optional<std::string>)> done)
+{
+    const auto* peer =
+        this->runtime.peers().find_disk(disk, host::boot_now());
+    if (peer == nullptr)
+        return done(std::nullopt);
+    http::client_request asked;
+    asked.method = "POST";
+    asked.target = std::move(path);
+    asked.headers.add("Host", peer->address);
+    asked.body = std::make_shared<const std::string>(std::move(body));
+    // The key names the process's start, so that a connection to an earlier
+    // one is never used.
+    auto key = peer->name + "/" + std::to_string(peer->incarnation);
+    http::call_whole(this->runtime.http_client(), this->runtime.event_loop(),
+                     key, peer->address, asked, limit,
+                     [done = std::move(done)](http::whole_answer answer)
+                     {
+                         bool whole = answer.how == http::call_end::complete &&
+                                      answer.status == 200;
+                         if (whole)
+                             return done(std::move(answer.body));
+                         done(std::nullopt);
+                     });
+}
+
+void partition_owner::tick()
+{
+    if (this->stopped)
+        return;
+    auto now = host::boot_now();
+    std::vector<std::string> disks;
+    for (const auto& [disk, copy] : this->copies)
+        disks.push_back(disk);
+    for (const auto& disk : disks)
+    {
+        auto found = this->copies.find(disk);
+        if (found == this->copies.end() || now < found->second.retry_at)
+            continue;
+        if (found->second.phase == copy_phase::unknown)
+            this->ask(disk);
+        else if (found->second.phase == copy_phase::known)
+            this->send(disk);
+    }
+    if (!this->accepts &&
+        (this->all_copies_heard() || now - this->started > reconcile_time))
+        this->begin_serving();
+}
+
+void partition_owner::ask(const std::string& disk)
+{
+    auto& copy = this->copies[disk];
+    copy.phase = copy_phase::asking;
+    reconcile_call question;
+    question.partition = this->partition;
+    question.epoch = this->place.epoch;
+    question.copy_disk = disk;
+    for (const auto& id : this->jobs.jobs_of(this->partition))
+        question.jobs.push_back({id, this->jobs.find(id)->mark(), false});
+    auto self = this->shared_from_this();
+    this->call(disk, "/batches/reconcile", pack(question), reconcile_limit,
+               [self, disk](const std::optional<std::string>& body)
+               {
+                   auto found = self->copies.find(disk);
+                   if (self->stopped || found == self->copies.end())
+                       return;
+                   auto answer = body ? unpack_reconcile_answer(*body)
+                                      : std::nullopt;
+                   bool usable = answer && answer->state.result ==
+                                               append_answer::verdict::stored;
+                   if (usable)
+                       return self->on_marks(disk, *answer);
+                   found->second.phase = copy_phase::unknown;
+                   found->second.retry_at = host::boot_now() + retry_pause;
+               });
+}
+
+void partition_owner::on_marks(const std::string& disk,
+                               const reconcile_answer& answer)
+{
+    auto& copy = this->copies[disk];
+    copy.phase = copy_phase::known;
+    // What a copy has beyond our log may be committed only while nothing was
+    // added in this epoch.
+    if (!this->accepts && this->place.holds(disk))
+        for (const auto& each : answer.further)
+        {
+            auto self = this->shared_from_this();
+            this->jobs.take(each,
+                            [self, job = each.job]
+                            {
+                                if (!self->stopped)
+                                    self->check_committed(job);
+                            });
+        }
+    copy.stored.clear();
+    for (const auto& each : answer.state.jobs)
+    {
+        const auto* log = this->jobs.find(each.job);
+        if (log == nullptr)
+        {
+            copy.expired.insert(each.job);
+            continue;
+        }
+        bool prefix = each.mark.count <= log->records().size() &&
+                      log->epoch_before(each.mark.count) == each.mark.epoch;
+        copy.stored[each.job] = prefix ? each.mark.count : 0;
+    }
+    for (const auto& id : this->jobs.jobs_of(this->partition))
+        if (copy.stored[id] < this->jobs.find(id)->records().size())
+            copy.behind.insert(id);
+    this->check_all_committed();
+    this->tick();
+}
+
+bool partition_owner::all_copies_heard() const
+{
+    for (const auto& disk : this->place.copies)
+    {
+        if (disk == this->jobs.disk_identity())
+            continue;
+        auto found = this->copies.find(disk);
+        if (found == this->copies.end() ||
+            found->second.phase != copy_phase::known)
+            return false;
+    }
+    return true;
+}
+
+void partition_owner::begin_serving()
+{
+    this->accepts = true;
+    for (const auto& id : this->jobs.jobs_of(this->partition))
+        this->unsettled[id] = this->jobs.find(id)->records().size();
+    logging::event(logging::level::info, "partition_served")
+        .with("partition", static_cast<std::int64_t>(this->partition))
+        .with("epoch", static_cast<std::int64_t>(this->place.epoch))
+        .with("jobs", static_cast<std::int64_t>(this->unsettled.size()))
+        .with("after_ms", (host::boot_now() - this->started).count());
+    for (const auto& [id, count] : this->unsettled)
+        for (auto& [disk, copy] : this->copies)
+            if (copy.stored[id] < count)
+                copy.behind.insert(id);
+    this->check_all_committed();
+    this->tick();
+}
+
+job_append partition_owner::next_append(const std::string& job,
+                                        std::uint64_t stored) const
+{
+    const auto* log = this->jobs.find(job);
+    auto records = log->records();
+    job_append out{job, stored, log->epoch_before(stored), {}};
+    std::size_t bytes = 0;
+    for (auto place = stored; place < records.size(); place++)
+    {
+        out.records.push_back(records[place]);
+        bytes += record_bytes(*records[place]);
+        if (bytes > append_bytes)
+            break;
+    }
+    return out;
+}
+
+void partition_owner::send(const std::string& disk)
+{
+    auto found = this->copies.find(disk);
+    if (found == this->copies.end() || this->stopped || !this->accepts)
+        return;
+    auto& copy = found->second;
+    bool nothing = copy.behind.empty() && copy.expired.empty();
+    if (copy.phase != copy_phase::known || copy.sending || nothing ||
+        host::boot_now() < copy.retry_at)
+        return;
+    append_call out;
+    out.partition = this->partition;
+    out.epoch = this->place.epoch;
+    out.owner_disk = this->jobs.disk_identity();
+    out.copy_disk = disk;
+    out.expired.assign(copy.expired.begin(), copy.expired.end());
+    std::size_t bytes = 0;
+    for (const auto& id : copy.behind)
+    {
+        if (this->jobs.find(id) == nullptr)
+            continue;
+        auto next = this->next_append(id, copy.stored[id]);
+        for (const auto& one : next.records)
+            bytes += record_bytes(*one);
+        out.jobs.push_back(std::move(next));
+        if (bytes > append_bytes)
+            break;
+    }
+    copy.sending = true;
+    auto self = this->shared_from_this();
+    this->call(disk, "/batches/append", pack(out), append_limit,
+               [self, disk, expired = out.expired](
+                   const std::optional<std::string>& body)
+               {
+                   auto at = self->copies.find(disk);
+                   if (self->stopped || at == self->copies.end())
+                       return;
+                   at->second.sending = false;
+                   auto answer =
+                       body ? unpack_append_answer(*body) : std::nullopt;
+                   if (!answer)
+                   {
+                       at->second.retry_at = host::boot_now() + retry_pause;
+                       return;
+                   }
+                   for (const auto& id : expired)
+                       at->second.expired.erase(id);
+                   self->on_stored(disk, *answer);
+               });
+}
+
+void partition_owner::on_stored(const std::string& disk,
+                                const append_answer& answer)
+{
+    auto& copy = this->copies[disk];
+    if (answer.result == append_answer::verdict::stale_epoch)
+    {
+        logging::event(logging::level::warning, "ownership_lost")
+            .with("partition", static_cast<std::int64_t>(this->partition))
+            .with("epoch", static_cast<std::int64_t>(this->place.epoch))
+            .with("later", static_cast<std::int64_t>(answer.epoch));
+        return this->stop();
+    }
+    if (answer.result == append_answer::verdict::wrong_disk)
+    {
+        copy.phase = copy_phase::unknown;
+        copy.retry_at = host::boot_now() + retry_pause;
+        return;
+    }
+    for (const auto& each : answer.jobs)
+    {
+        const auto* log = this->jobs.find(each.job);
+        if (log == nullptr)
+        {
+            copy.behind.erase(each.job);
+            continue;
+        }
+        bool prefix = !each.mismatch &&
+                      each.mark.count <= log->records().size() &&
+                      log->epoch_before(each.mark.count) == each.mark.epoch;
+        copy.stored[each.job] = prefix ? each.mark.count : 0;
+        if (copy.stored[each.job] >= log->records().size())
+            copy.behind.erase(each.job);
+        this->check_committed(each.job);
+    }
+    this->send(disk);
+}
+
+void partition_owner::check_committed(const std::string& job)
+{
+    if (!this->accepts || this->stopped)
+        return;
+    auto count = this->stored_everywhere(job);
+    auto waiting = this->unsettled.find(job);
+    if (waiting != this->unsettled.end() && count >= waiting->second)
+        this->unsettled.erase(waiting);
+    auto& known = this->committed_counts[job];
+    if (count <= known)
+        return;
+    known = count;
+    this->on_commit(job);
+}
+
+void partition_owner::check_all_committed()
+{
+    for (const auto& id : this->jobs.jobs_of(this->partition))
+        this->check_committed(id);
+}
+
+} // namespace amaranthhatch::batches
--- /dev/null
+++ b/source/batches/partition_owner.hpp
@@ -0,0 +1,123 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "batches/job_store.hpp"
+#include "core/batches/placement.hpp"
+#include "host/host_runtime.hpp"
+
+namespace amaranthhatch::batches
+{
+
+/// @brief One partition that this host owns in one epoch.
+///
+/// A record is committed once every copy has synced it. A copy that has seen
+/// a later epoch refuses, so that an owner that was replaced commits nothing.
+class partition_owner : public std::enable_shared_from_this<partition_owner>
+{
+public:
+    /// @brief Hears that more records of a job are committed.
+    using commit_callback = std::function<void(const std::string& job)>;
+
+    partition_owner(host::host_runtime& runtime, job_store& jobs,
+                    std::size_t partition, core::batches::partition_place place,
+                    commit_callback committed);
+
+    /// @brief Asks the copies how far they are; owning starts after that.
+    void start();
+
+    /// @brief Ends all calls; the place has another owner.
+    void stop();
+
+    std::uint64_t epoch() const { return this->place.epoch; }
+
+    /// @brief True once records may be added.
+    bool serving() const { return this->accepts; }
+
+    /// @brief True once everything that an earlier owner can have shown is
+    /// committed again.
+    bool recovered() const { return this->accepts && this->unsettled.empty(); }
+
+    /// @brief True while no other host can have taken the partition over.
+    bool holds_lease() const;
+
+    /// @brief Records of a job that every copy has synced.
+    std::uint64_t committed(std::string_view job) const;
+
+    /// @brief Adds records to a job's log and sends them to the copies.
+    void add(const std::string& job,
+             std::vector<core::batches::record_ptr> records);
+
+    /// @brief Forgets a job here and at the copies.
+    void expire(const std::string& job);
+
+    /// @brief Brings another disk up to date, to become a copy.
+    void teach(const std::string& disk);
+
+    /// @brief The disk that is being taught, if any.
+    const std::string& learner() const { return this->learning_disk; }
+    bool learner_ready() const;
+
+    /// @brief Takes over a changed list of copies of the same epoch.
+    void set_copies(std::vector<std::string> copies);
+
+    /// @brief Sends what waits; to be called often.
+    void tick();
+
+    const core::batches::partition_place& placed() const { return this->place; }
+
+private:
+    enum class copy_phase : std::uint8_t
+    {
+        unknown,
+        asking,
+        known
+    };
+
+    struct copy_state
+    {
+        copy_phase phase = copy_phase::unknown;
+        bool sending = false;
+        core::instant retry_at{};
+        std::map<std::string, std::uint64_t, std::less<>> stored;
+        std::set<std::string> behind;
+        std::set<std::string> expired;
+    };
+
+    void ask(const std::string& disk);
+    void on_marks(const std::string& disk, const reconcile_answer& answer);
+    void send(const std::string& disk);
+    void on_stored(const std::string& disk, const append_answer& answer);
+    void call(const std::string& disk, std::string path, std::string body,
+              core::milliseconds limit,
+              std::function<void(std::optional<std::string>)> done);
+    void begin_serving();
+    std::uint64_t stored_everywhere(std::string_view job) const;
+    bool all_copies_heard() const;
+    void check_committed(const std::string& job);
+    void check_all_committed();
+    void note_behind(const std::string& job);
+    job_append next_append(const std::string& job, std::uint64_t stored) const;
+
+    host::host_runtime& runtime;
+    job_store& jobs;
+    std::size_t partition;
+    core::batches::partition_place place;
+    commit_callback on_commit;
+    std::map<std::string, copy_state, std::less<>> copies;
+    std::map<std::string, std::uint64_t, std::less<>> committed_counts;
+    /// Jobs with records of earlier epochs that aren't committed in this one.
+    std::map<std::string, std::uint64_t, std::less<>> unsettled;
+    std::string learning_disk;
+    core::instant started{};
+    bool accepts = false;
+    bool stopped = false;
+};
+
+} // namespace amaranthhatch::batches
--- /dev/null
+++ b/source/batches/placement_agent.cpp
@@ -0,0 +1,332 @@
+#include "batches/placement_agent.hpp"
+
+#include <algorithm>
+
+#include "batches/timing.hpp"
+#include "core/hash.hpp"
+#include "host/boot_clock.hpp"
+#include "logging/event.hpp"
+
+namespace amaranthhatch::batches
+{
+
+namespace model = core::batches;
+
+namespace
+{
+
+// Partitions are the units of ownership; two dozen spread evenly over the
+// three to fourteen hosts with a disk.
+constexpr std::size_t partition_count = 24;
+// A pause between two ticks of this length shows that this host was frozen.
+constexpr core::milliseconds frozen_gap{500};
+// After a lost answer the store's copy shows what became of the write.
+constexpr core::milliseconds commit_pause{300};
+// Hosts start within a third of a second of each other.
+constexpr core::milliseconds gather_time{1500};
+// A partition that came to this host by a teaching which was given up.
+constexpr core::milliseconds stray_time{15000};
+// Copies claim one after the other, so that two seldom race.
+constexpr core::milliseconds claim_step{400};
+
+} // namespace
+
+placement_agent::placement_agent(host::host_runtime& runtime, job_store& jobs,
+                                 partition_owner::commit_callback committed)
+    : runtime(runtime), jobs(jobs), on_commit(std::move(committed)),
+      started(host::boot_now()), last_tick(started), listening_since(started)
+{
+}
+
+std::string placement_agent::key() const
+{
+    return this->runtime.own_prefix() + "placement";
+}
+
+void placement_agent::set_retiring(std::set<std::string> hosts)
+{
+    this->retiring = std::move(hosts);
+}
+
+std::shared_ptr<partition_owner>
+placement_agent::owner_of(std::string_view job) const
+{
+    if (!this->current)
+        return nullptr;
+    auto found = this->owners.find(this->current->partition_of(job));
+    return found == this->owners.end() ? nullptr : found->second;
+}
+
+bool placement_agent::emptied() const
+{
+    if (!this->current)
+        return false;
+    return std::none_of(this->current->partitions.begin(),
+                        this->current->partitions.end(),
+                        [this](const auto& each)
+                        { return each.holds(this->jobs.disk_identity()); });
+}
+
+std::vector<model::disk_host> placement_agent::disk_hosts() const
+{
+    auto now = host::boot_now();
+    const auto& own = this->runtime.settings();
+    std::vector<model::disk_host> out;
+    out.push_back({this->jobs.disk_identity(), own.zone, own.region,
+                   this->runtime.incarnation(),
+                   !this->retiring.contains(own.name)});
+    for (const auto& [name, peer] : this->runtime.peers().all())
+        if (!peer.disk.empty() && this->runtime.peers().alive(peer, now) &&
+            !peer.leaving)
+            out.push_back({peer.disk, peer.zone, peer.region, peer.incarnation,
+                           !this->retiring.contains(name)});
+    std::sort(out.begin(), out.end(), [](const auto& left, const auto& right)
+              { return left.disk < right.disk; });
+    return out;
+}
+
+bool placement_agent::silent(std::string_view disk,
+                             core::milliseconds limit) const
+{
+    auto now = host::boot_now();
+    auto heard = this->listening_since;
+    for (const auto& [name, peer] : this->runtime.peers().all())
+        if (peer.disk == disk)
+            heard = std::max(heard, peer.heard);
+    return now - heard > limit;
+}
+
+bool placement_agent::retires(std::string_view disk) const
+{
+    if (disk == this->jobs.disk_identity())
+        return this->retiring.contains(this->runtime.settings().name);
+    for (const auto& [name, peer] : this->runtime.peers().all())
+        if (peer.disk == disk && this->retiring.contains(name))
+            return true;
+    return false;
+}
+
+void placement_agent::tick()
+{
+    auto now = host::boot_now();
+    if (now - this->last_tick > frozen_gap)
+    {
+        logging::event(logging::level::warning, "process_paused")
+            .with("ms", (now - this->last_tick).count());
+        this->listening_since = now;
+    }
+    this->last_tick = now;
+    this->adopt_copy();
+    if (!this->current)
+        return this->propose_first();
+    this->follow();
+    for (const auto& [partition, owner] : this->owners)
+        owner->tick();
+    this->drop_strays();
+    if (this->committing || now < this->commit_after)
+        return;
+    auto next = *this->current;
+    bool changed = false;
+    for (std::size_t at = 0; at < next.partitions.size(); at++)
+    {
+        const auto& place = this->current->partitions[at];
+        if (place.owner_disk == this->jobs.disk_identity())
+            this->consider_owned(at, next, changed);
+        else if (place.holds(this->jobs.disk_identity()))
+            this->consider_copy(at, next, changed);
+    }
+    if (changed)
+        this->commit(next);
+}
+
+void placement_agent::adopt_copy()
+{
+    const auto* found =
+        this->runtime.copy(host::copied_part::own).find(this->key());
+    if (found == nullptr || found->revision <= this->revision)
+        return;
+    auto parsed = parse_placement(found->value);
+    if (!parsed)
+        return;
+    this->current = std::move(parsed);
+    this->revision = found->revision;
+    this->jobs.set_partitions(this->current->partitions.size());
+}
+
+void placement_agent::follow()
+{
+    for (std::size_t at = 0; at < this->current->partitions.size(); at++)
+    {
+        const auto& place = this->current->partitions[at];
+        bool ours = place.owner_disk == this->jobs.disk_identity() &&
+                    place.owner_incarnation == this->runtime.incarnation();
+        auto known = this->owners.find(at);
+        if (known != this->owners.end() &&
+            (!ours || known->second->epoch() != place.epoch))
+        {
+            known->second->stop();
+            this->owners.erase(known);
+            known = this->owners.end();
+        }
+        if (!ours)
+            continue;
+        if (known == this->owners.end())
+        {
+            auto owner = std::make_shared<partition_owner>(
+                this->runtime, this->jobs, at, place, this->on_commit);
+            this->owners[at] = owner;
+            owner->start();
+        }
+        else if (known->second->placed().copies != place.copies)
+            known->second->set_copies(place.copies);
+    }
+}
+
+void placement_agent::propose_first()
+{
+    const auto& copy = this->runtime.copy(host::copied_part::own);
+    bool gathered = host::boot_now() - this->started > gather_time;
+    if (copy.as_of() == 0 || !gathered || this->committing)
+        return;
+    auto hosts = this->disk_hosts();
+    // The host that sorts first proposes; the others wait for its write.
+    if (hosts.empty() || hosts.front().disk != this->jobs.disk_identity())
+        return;
+    auto first =
+        model::first_placement(partition_count,
+                               this->runtime.settings().lost_disks + 1, hosts);
+    if (first)
+        this->commit(*first);
+}
+
+void placement_agent::consider_owned(std::size_t partition,
+                                     model::placement& next, bool& changed)
+{
+    auto& place = next.partitions[partition];
+    if (place.owner_incarnation != this->runtime.incarnation())
+    {
+        // This process was started anew and finds its disk named as owner.
+        place.epoch++;
+        place.owner_incarnation = this->runtime.incarnation();
+        changed = true;
+        return;
+    }
+    auto owner = this->owners.find(partition);
+    if (owner == this->owners.end() || !owner->second->serving())
+        return;
+    std::string replaced;
+    for (const auto& disk : place.copies)
+    {
+        bool lost = disk != this->jobs.disk_identity() &&
+                    this->silent(disk, replace_time);
+        if (lost || (replaced.empty() && this->retires(disk)))
+            replaced = disk;
+    }
+    if (replaced.empty())
+        return owner->second->teach({});
+    auto hosts = this->disk_hosts();
+    const auto& learner = owner->second->learner();
+    bool learner_lives =
+        !learner.empty() && !this->silent(learner, replace_time) &&
+        !this->retires(learner);
+    if (!learner_lives)
+    {
+        const auto* host = model::choose_replacement(
+            place, replaced, this->runtime.settings().region, hosts);
+        owner->second->teach(host == nullptr ? "" : host->disk);
+        return;
+    }
+    if (!owner->second->learner_ready())
+        return;
+    std::replace(place.copies.begin(), place.copies.end(), replaced, learner);
+    if (replaced == this->jobs.disk_identity())
+    {
+        // The owner itself is emptied: a copy that has all goes on.
+        auto heir = std::find_if(hosts.begin(), hosts.end(),
+                                 [&](const auto& each)
+                                 { return place.holds(each.disk); });
+        if (heir == hosts.end())
+        {
+            place = this->current->partitions[partition];
+            return;
+        }
+        place.epoch++;
+        place.owner_disk = heir->disk;
+        place.owner_incarnation = heir->incarnation;
+    }
+    logging::event(logging::level::info, "copy_replaced")
+        .with("partition", static_cast<std::int64_t>(partition))
+        .with("lost", replaced)
+        .with("by", learner);
+    changed = true;
+}
+
+void placement_agent::consider_copy(std::size_t partition,
+                                    model::placement& next, bool& changed)
+{
+    auto& place = next.partitions[partition];
+    auto rank = std::find(place.copies.begin(), place.copies.end(),
+                          this->jobs.disk_identity()) -
+                place.copies.begin();
+    auto limit = takeover_time + claim_step * (rank > 1 ? 1 : 0);
+    if (!this->silent(place.owner_disk, limit))
+        return;
+    logging::event(logging::level::warning, "owner_silent")
+        .with("partition", static_cast<std::int64_t>(partition))
+        .with("owner", place.owner_disk)
+        .with("epoch", static_cast<std::int64_t>(place.epoch));
+    place.epoch++;
+    place.owner_disk = this->jobs.disk_identity();
+    place.owner_incarnation = this->runtime.incarnation();
+    changed = true;
+}
+
+void placement_agent::commit(const model::placement& next)
+{
+    this->committing = true;
+    store::change wanted;
+    wanted.conditions.push_back({this->key(), this->revision});
+    wanted.writes.push_back({this->key(), placement_text(next), 0});
+    this->runtime.shared_store().commit(
+        wanted,
+        [this, next](const store::change_result& got)
+        {
+            this->committing = false;
+            logging::event(logging::level::info, "placement_proposed")
+                .with("result", store::outcome_name(got.result))
+                .with("revision", static_cast<std::int64_t>(got.revision));
+            if (got.result != store::outcome::done ||
+                got.revision <= this->revision)
+            {
+                this->commit_after = host::boot_now() + commit_pause;
+                return;
+            }
+            this->current = next;
+            this->revision = got.revision;
+            this->jobs.set_partitions(next.partitions.size());
+            this->follow();
+        });
+}
+
+void placement_agent::drop_strays()
+{
+    auto now = host::boot_now();
+    for (std::size_t at = 0; at < this->current->partitions.size(); at++)
+    {
+        bool ours =
+            this->current->partitions[at].holds(this->jobs.disk_identity());
+        if (ours)
+        {
+            this->stray_since.erase(at);
+            continue;
+        }
+        auto since = this->stray_since.emplace(at, now).first->second;
+        if (now - since < stray_time)
+            continue;
+        this->stray_since[at] = now;
+        for (const auto& id : this->jobs.jobs_of(at))
+            this->jobs.forget(id);
+    }
+}
+
+} // namespace amaranthhatch::batches
--- /dev/null
+++ b/source/batches/placement_agent.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "batches/partition_owner.hpp"
+#include "core/batches/placement.hpp"
+#include "host/host_runtime.hpp"
+
+namespace amaranthhatch::batches
+{
+
+/// @brief Decides with the other disk hosts who owns which partition.
+///
+/// All changes go through the store by compare-and-swap on one key. A host
+/// claims what the silent owner of a partition leaves behind, resumes its own
+/// after a restart, and gives copies on lost or retiring disks a new place.
+class placement_agent
+{
+public:
+    placement_agent(host::host_runtime& runtime, job_store& jobs,
+                    partition_owner::commit_callback committed);
+
+    /// @brief Looks at the placement and at the other hosts; called often.
+    void tick();
+
+    /// @brief Disks whose hosts are to be emptied.
+    void set_retiring(std::set<std::string> hosts);
+
+    /// @brief The owner of a job's partition on this host, or null.
+    std::shared_ptr<partition_owner> owner_of(std::string_view job) const;
+
+    /// @brief All partitions that this host owns.
+    const std::map<std::size_t, std::shared_ptr<partition_owner>>&
+    owned() const
+    {
+        return this->owners;
+    }
+
+    /// @brief True where no copy lies on this host's disk.
+    bool emptied() const;
+
+    bool known() const { return this->current.has_value(); }
+
+private:
+    void adopt_copy();
+    void follow();
+    void propose_first();
+    void consider_owned(std::size_t partition, core::batches::placement& next,
+                        bool& changed);
+    void consider_copy(std::size_t partition, core::batches::placement& next,
+                       bool& changed);
+    void commit(const core::batches::placement& next);
+    void drop_strays();
+    bool silent(std::string_view disk, core::milliseconds limit) const;
+    bool retires(std::string_view disk) const;
+    std::vector<core::batches::disk_host> disk_hosts() const;
+    std::string key() const;
+
+    host::host_runtime& runtime;
+    job_store& jobs;
+    partition_owner::commit_callback on_commit;
+    std::optional<core::batches::placement> current;
+    std::uint64_t revision = 0;
+    std::map<std::size_t, std::shared_ptr<partition_owner>> owners;
+    std::map<std::size_t, core::instant> stray_since;
+    std::set<std::string> retiring;
+    core::instant started{};
+    core::instant last_tick{};
+    /// Silence counts only while this host itself has been awake.
+    core::instant listening_since{};
+    bool committing = false;
+    core::instant commit_after{};
+};
+
+} // namespace amaranthhatch::batches
--- /dev/null
+++ b/source/batches/records.hpp
@@ -0,0 +1,115 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/batches/job_log.hpp"
+#include "core/batches/placement.hpp"
+
+namespace amaranthhatch::batches
+{
+
+/// @brief Records of one job that go to a copy, or onto a disk.
+struct job_append
+{
+    std::string job;
+    std::uint64_t place = 0;
+    std::uint64_t previous_epoch = 0;
+    std::vector<core::batches::record_ptr> records;
+};
+
+/// @brief Records of one partition from its owner to a copy.
+struct append_call
+{
+    std::uint64_t partition = 0;
+    std::uint64_t epoch = 0;
+    std::string owner_disk;
+    /// The disk that is meant; a host with another one answers "wrong disk".
+    std::string copy_disk;
+    std::vector<job_append> jobs;
+    /// Jobs that are to be forgotten, as their time is over.
+    std::vector<std::string> expired;
+};
+
+/// @brief How far one job's log goes at a copy.
+struct job_mark
+{
+    std::string job;
+    core::batches::log_mark mark;
+    bool mismatch = false;
+};
+
+/// @brief A copy's answer to an append or to a question for its marks.
+struct append_answer
+{
+    enum class verdict : std::uint8_t
+    {
+        stored,
+        /// A later epoch is known here.
+        stale_epoch,
+        wrong_disk
+    };
+    verdict result = verdict::stored;
+    std::uint64_t epoch = 0;
+    std::vector<job_mark> jobs;
+};
+
+/// @brief A new owner's marks, to which a copy answers with what it has more.
+struct reconcile_call
+{
+    std::uint64_t partition = 0;
+    std::uint64_t epoch = 0;
+    std::string copy_disk;
+    std::vector<job_mark> jobs;
+};
+
+/// @brief A copy's marks, and whole logs that go further than the owner's.
+struct reconcile_answer
+{
+    append_answer state;
+    std::vector<job_append> further;
+};
+
+/// @brief What a record on the disk says.
+enum class disk_kind : std::uint8_t
+{
+    /// Records of a job at a place.
+    append,
+    /// A job was forgotten.
+    expired,
+    /// An epoch of a partition below which nothing is accepted any more.
+    epoch
+};
+
+/// @brief One frame of the disk's log.
+struct disk_frame
+{
+    disk_kind kind = disk_kind::append;
+    job_append append;
+    std::uint64_t partition = 0;
+    std::uint64_t epoch = 0;
+};
+
+std::string pack(const append_call& from);
+std::string pack(const append_answer& from);
+std::string pack(const reconcile_call& from);
+std::string pack(const reconcile_answer& from);
+std::string pack(const disk_frame& from);
+std::string pack(const core::batches::job& from);
+
+std::optional<append_call> unpack_append(std::string_view bytes);
+std::optional<append_answer> unpack_append_answer(std::string_view bytes);
+std::optional<reconcile_call> unpack_reconcile(std::string_view bytes);
+std::optional<reconcile_answer> unpack_reconcile_answer(std::string_view bytes);
+std::optional<disk_frame> unpack_frame(std::string_view bytes);
+std::optional<core::batches::job> unpack_job(std::string_view bytes);
+
+/// @brief The text under which the placement lies in the store.
+std::string placement_text(const core::batches::placement& from);
+std::optional<core::batches::placement> parse_placement(std::string_view text);
+
+} // namespace amaranthhatch::batches
--- /dev/null
+++ b/source/batches/timing.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "core/instant.hpp"
+
+namespace amaranthhatch::batches
+{
+
+/// An owner answers reads this long after it sent a beacon that a copy has
+/// echoed; four beacons fit into it.
+inline constexpr core::milliseconds lease_time{800};
+/// A copy takes over after this silence of the owner. The margin over the
+/// lease covers a beacon's way between regions and a slow wake-up.
+inline constexpr core::milliseconds takeover_time{1500};
+/// A copy that is silent this long gets a replacement.
+inline constexpr core::milliseconds replace_time{1500};
+/// A new owner waits this long for the marks of copies that don't answer.
+inline constexpr core::milliseconds reconcile_time{600};
+
+} // namespace amaranthhatch::batches
--- /dev/null
+++ b/source/core/batches/placement.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace amaranthhatch::core::batches
+{
+
+/// @brief Who owns one partition of the jobs, and on which disks it lies.
+///
+/// Kept in the platform's store and changed by compare-and-swap only.
+struct partition_place
+{
+    /// Rises with each change of the owner.
+    std::uint64_t epoch = 0;
+    std::string owner_disk;
+    /// The start of the owner's process; a later start owns nothing yet.
+    std::uint64_t owner_incarnation = 0;
+    /// Disks that hold every committed record, the owner's among them.
+    std::vector<std::string> copies;
+
+    bool holds(std::string_view disk) const;
+    bool operator==(const partition_place&) const = default;
+};
+
+/// @brief The places of all partitions.
+struct placement
+{
+    std::vector<partition_place> partitions;
+
+    std::size_t partition_of(std::string_view job) const;
+};
+
+/// @brief A live host with a disk, as far as placing goes.
+struct disk_host
+{
+    std::string disk;
+    std::string zone;
+    std::string region;
+    std::uint64_t incarnation = 0;
+    /// False where its disk is to be emptied.
+    bool keeps = true;
+};
+
+/// @brief The first placement: spread over hosts, copies in different zones.
+///
+/// Nothing where fewer than copies hosts are there.
+std::optional<placement> first_placement(std::size_t partitions,
+                                         std::size_t copies,
+                                         const std::vector<disk_host>& hosts);
+
+/// @brief The host that takes the place of one copy, or null.
+///
+/// Zones that have no other copy go first, then the owner's region.
+const disk_host* choose_replacement(const partition_place& from,
+                                    std::string_view replaced,
+                                    std::string_view owner_region,
+                                    const std::vector<disk_host>& hosts);
+
+} // namespace amaranthhatch::core::batches
--- /dev/null
+++ b/source/core/endpoints/endpoint_table.hpp
@@ -0,0 +1,158 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/instant.hpp"
+#include "core/peers/peer_table.hpp"
+
+namespace amaranthhatch::core::endpoints
+{
+
+/// @brief What an endpoint says of itself.
+struct endpoint
+{
+    std::string id;
+    std::string service;
+    std::string address;
+    std::string zone;
+    std::uint32_t slots = 1;
+    bool draining = false;
+};
+
+/// @brief Kinds of load, in the order in which they yield.
+enum class load_kind : std::uint8_t
+{
+    online,
+    batch
+};
+
+/// @brief How a request at an endpoint ended, as far as health goes.
+enum class verdict : std::uint8_t
+{
+    answered,
+    /// The endpoint said that it didn't run the request.
+    refused,
+    /// No connection stood.
+    unreachable,
+    /// The answer broke off or never came.
+    broken,
+    /// Another instance has the address.
+    replaced,
+    /// We closed the request; says nothing of the endpoint.
+    cancelled
+};
+
+/// @brief An endpoint that was chosen, and how long its queue will take.
+struct choice
+{
+    const endpoint* chosen = nullptr;
+    /// Expected time until a slot is free; zero where one is.
+    milliseconds expected_wait{};
+    /// A batch request has to make way.
+    bool displaces = false;
+};
+
+/// @brief Names one request at an endpoint, for reports about it.
+struct run_key
+{
+    std::string endpoint;
+    std::uint64_t number = 0;
+};
+
+/// @brief Endpoints with their load and health, and the choice among them.
+///
+/// Load is what this host runs plus what the others' beacons report. Health is
+/// what this host's own requests showed; an endpoint's word is not asked.
+class endpoint_table
+{
+public:
+    endpoint_table(std::string own_zone,
+                   std::map<std::string, std::string> region_of_zone,
+                   const peers::peer_table& others);
+
+    /// @brief Replaces the list; running requests of dropped ones go on.
+    void replace(std::vector<endpoint> listed);
+
+    const endpoint* find(std::string_view id) const;
+    std::size_t size() const { return this->known.size(); }
+
+    /// @brief The best endpoint for an online request, or none.
+    ///
+    /// Endpoints in excluded are left out; uniform in [0, 1) breaks ties.
+    choice choose_online(std::string_view service,
+                         std::span<const std::string> excluded, instant now,
+                         double uniform) const;
+
+    /// @brief The best endpoint with a free slot for a batch request, or none.
+    ///
+    /// Leaves reserve slots of each endpoint free for online requests.
+    choice choose_batch(std::string_view service, std::uint32_t reserve,
+                        instant now, double uniform) const;
+
+    /// @brief Notes that a request starts.
+    run_key begin(std::string_view endpoint, load_kind kind, instant now);
+
+    /// @brief Notes bytes of a running request's answer.
+    void progress(const run_key& run, instant now);
+
+    /// @brief Notes that a request has ended, and how.
+    void end(const run_key& run, verdict how, instant now);
+
+    /// @brief Own requests at an endpoint beyond its slots, all hosts counted.
+    std::uint32_t excess(std::string_view endpoint) const;
+
+    /// @brief Own running requests, for the next beacon.
+    std::vector<peers::endpoint_load> own_loads() const;
+
+    /// @brief Mean time that a request holds a slot of the service.
+    milliseconds mean_hold(std::string_view service) const;
+
+    /// @brief Endpoints of a service that may be chosen now.
+    std::uint32_t usable(std::string_view service, instant now) const;
+
+    /// @brief Changes whenever own_loads() does.
+    std::uint64_t load_version() const { return this->version; }
+
+private:
+    struct running
+    {
+        load_kind kind = load_kind::online;
+        instant started{};
+    };
+
+    struct record
+    {
+        endpoint info;
+        bool listed = true;
+        std::uint64_t id_hash = 0;
+        std::map<std::uint64_t, running> runs;
+        std::uint32_t online = 0;
+        std::uint32_t batch = 0;
+        instant last_progress{};
+        instant excluded_until{};
+        instant last_failure{};
+        std::uint32_t failures = 0;
+    };
+
+    bool may_choose(const record& each, std::string_view service,
+                    instant now) const;
+    bool silent(const record& each, instant now) const;
+    int distance(const record& each) const;
+    void note_failure(record& each, verdict how, instant now);
+    void note_hold(std::string_view service, milliseconds held);
+
+    std::string own_zone;
+    std::map<std::string, std::string> region_of_zone;
+    const peers::peer_table& others;
+    std::map<std::string, record, std::less<>> known;
+    std::map<std::string, double, std::less<>> mean_hold_ms;
+    std::uint64_t next_run = 1;
+    std::uint64_t version = 0;
+};
+
+} // namespace amaranthhatch::core::endpoints
--- /dev/null
+++ b/source/core/peers/peer_table.hpp
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/instant.hpp"
+#include "core/peers/beacon.hpp"
+
+namespace amaranthhatch::core::peers
+{
+
+/// @brief A host of the system, from its registration or its beacons.
+struct peer
+{
+    std::string name;
+    std::string address;
+    std::string zone;
+    std::string region;
+    std::string disk;
+    std::uint64_t incarnation = 0;
+    /// When its last beacon arrived; zero: never.
+    instant heard{};
+    /// Its own clock in its last beacon, to be echoed.
+    std::int64_t sent_ms = 0;
+    /// Our clock in our newest beacon that it has echoed; zero: none.
+    instant echoed{};
+    bool registered = false;
+    bool leaving = false;
+    std::vector<endpoint_load> loads;
+    std::vector<copy_revision> copies;
+    std::vector<backlog> backlogs;
+};
+
+/// @brief What is known of the other hosts.
+class peer_table
+{
+public:
+    /// @brief Times after which silence counts.
+    struct limits
+    {
+        /// Loads of a silent host no longer count.
+        milliseconds load_expiry;
+        /// A host that is silent this long isn't alive.
+        milliseconds silence;
+        /// An unregistered host that is silent this long is forgotten.
+        milliseconds forget;
+    };
+
+    peer_table(std::string own_name, std::uint64_t own_incarnation,
+               limits bounds);
+
+    /// @brief Takes in a beacon; false where it is older than a known one.
+    bool hear(const beacon& from, instant now);
+
+    /// @brief Replaces what the store lists as registered.
+    void register_all(const std::vector<peer>& listed);
+
+    /// @brief Forgets unregistered hosts that have been silent for long.
+    void expire(instant now);
+
+    const peer* find(std::string_view name) const;
+
+    /// @brief The live host that has a disk, or null.
+    const peer* find_disk(std::string_view disk, instant now) const;
+
+    bool alive(const peer& other, instant now) const;
+
+    /// @brief All known hosts, by name.
+    const std::map<std::string, peer, std::less<>>& all() const
+    {
+        return this->peers;
+    }
+
+    /// @brief The echoes to put into the next beacon.
+    std::vector<echo> echoes(instant now) const;
+
+    /// @brief Sum of what other live hosts run at an endpoint.
+    endpoint_load load(std::uint64_t endpoint) const;
+
+    /// @brief Sum of the tokens that other live hosts own on a route.
+    std::uint64_t backlog_tokens(std::uint64_t route, instant now) const;
+
+    /// @brief Drops the loads of silent hosts; to be called often.
+    void refresh_loads(instant now);
+
+private:
+    void add_loads(const std::vector<endpoint_load>& loads, int sign);
+
+    std::string own_name;
+    std::uint64_t own_hash;
+    std::uint64_t own_incarnation;
+    limits bounds;
+    std::map<std::string, peer, std::less<>> peers;
+    /// Sums over peers, kept so that a choice needs no walk over hosts.
+    std::map<std::uint64_t, endpoint_load> sums;
+};
+
+} // namespace amaranthhatch::core::peers
--- /dev/null
+++ b/source/forward/online_router.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "core/routes/route_table.hpp"
+#include "forward/call_names.hpp"
+#include "host/host_runtime.hpp"
+#include "http/async_server.hpp"
+
+namespace amaranthhatch::forward
+{
+
+/// @brief Finds the route of each request and starts its run.
+///
+/// The configuration's version only goes up; before the first one arrives
+/// every request is refused as not run.
+class online_router
+{
+public:
+    /// Takes requests of batch routes.
+    using batch_handler = std::function<void(
+        std::shared_ptr<const core::routes::route_table> table,
+        const core::routes::route& matched,
+        std::shared_ptr<http::server_exchange> exchange)>;
+
+    online_router(host::host_runtime& runtime, call_names names,
+                  batch_handler batch);
+
+    /// @brief Puts a newer configuration in force; older ones are ignored.
+    void apply(std::shared_ptr<const core::routes::route_table> table);
+
+    void handle(std::shared_ptr<http::server_exchange> exchange);
+
+    /// @brief The configuration in force, or null.
+    std::shared_ptr<const core::routes::route_table> table() const
+    {
+        return this->current;
+    }
+
+private:
+    void answer(http::server_exchange& exchange, int status,
+                std::string_view reason);
+
+    host::host_runtime& runtime;
+    call_names names;
+    batch_handler batch;
+    std::shared_ptr<const core::routes::route_table> current;
+};
+
+} // namespace amaranthhatch::forward
--- /dev/null
+++ b/source/host/graceful_stop.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <functional>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "host/host_runtime.hpp"
+#include "http/async_server.hpp"
+
+namespace amaranthhatch::host
+{
+
+/// @brief Ends a process without cutting requests.
+///
+/// On SIGTERM the host says that it isn't ready, goes on serving until the
+/// balancer has noticed, then closes its port and waits for what runs.
+class graceful_stop
+{
+public:
+    /// @brief What is to be done at each step; any may be empty.
+    struct steps
+    {
+        std::function<void()> announce;
+        std::function<void()> stop_taking;
+        std::function<bool()> idle;
+        std::function<void()> finish;
+    };
+
+    graceful_stop(boost::asio::io_context& loop, core::milliseconds grace,
+                  core::milliseconds notice, steps todo);
+
+    /// @brief True once SIGTERM has come.
+    bool stopping() const { return this->begun; }
+
+private:
+    void begin();
+    void wait_idle();
+    void wait_signal();
+
+    boost::asio::io_context& loop;
+    core::milliseconds grace;
+    core::milliseconds notice;
+    steps todo;
+    boost::asio::signal_set signals;
+    boost::asio::steady_timer timer;
+    core::instant began{};
+    bool begun = false;
+};
+
+} // namespace amaranthhatch::host
--- /dev/null
+++ b/source/host/host_runtime.hpp
@@ -0,0 +1,129 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "core/endpoints/endpoint_table.hpp"
+#include "core/peers/peer_table.hpp"
+#include "host/host_settings.hpp"
+#include "http/async_client.hpp"
+#include "http/async_server.hpp"
+#include "metrics/recorder.hpp"
+#include "peers/beacon_socket.hpp"
+#include "store/mirror.hpp"
+
+namespace amaranthhatch::host
+{
+
+/// @brief Where the parts of the shared store lie.
+struct store_layout
+{
+    std::string configuration_prefix;
+    std::string endpoint_prefix;
+    /// Keys that belong to this system.
+    std::string own_prefix;
+};
+
+/// @brief The parts of the store that every host copies, in beacon order.
+enum class copied_part : std::uint8_t
+{
+    configuration,
+    own,
+    endpoints
+};
+
+/// @brief What every process of the system has: its copies of the store, the
+/// other hosts, endpoints with their load, and the port for internal calls.
+class host_runtime
+{
+public:
+    using handler = http::async_server::handler;
+    using notice = std::function<void()>;
+
+    host_runtime(boost::asio::io_context& loop, http::async_client& client,
+                 metrics::recorder& metrics, store::async_store& store,
+                 host_settings settings, store_layout layout, std::string disk);
+
+    /// @brief Answers internal calls whose path starts with a prefix.
+    void serve(std::string prefix, handler handle);
+
+    /// @brief Adds parts to each beacon, such as backlogs.
+    void extend_beacon(std::function<void(core::peers::beacon&)> extend);
+
+    /// @brief Calls back after a change of a copied part.
+    void on_change(copied_part part, notice changed);
+
+    /// @brief Calls back after each beacon of another host.
+    void on_beacon(notice heard);
+
+    void start();
+
+    /// @brief Says to the others that this host leaves.
+    void leave();
+
+    /// @brief Ends the registration, all copies and beacons.
+    void stop();
+
+    const store::mirror& copy(copied_part part) const;
+    core::peers::peer_table& peers() { return this->peer_hosts; }
+    core::endpoints::endpoint_table& endpoints() { return this->table; }
+    const host_settings& settings() const { return this->own; }
+    const std::string& own_prefix() const { return this->layout.own_prefix; }
+    std::uint64_t incarnation() const { return this->start_number; }
+    boost::asio::io_context& event_loop() { return this->loop; }
+    http::async_client& http_client() { return this->client; }
+    metrics::recorder& metrics_recorder() { return this->metrics; }
+    store::async_store& shared_store() { return this->store; }
+
+    /// @brief Tells the others soon of a change of this host's load.
+    void load_changed() { this->socket.send_soon(); }
+
+private:
+    core::peers::beacon compose();
+    void answer(std::shared_ptr<http::server_exchange> exchange);
+    void answer_copy(http::server_exchange& exchange) const;
+    void on_own_change();
+    void check_copies();
+    void pull(std::size_t part, const std::string& key,
+              const std::string& address);
+    void pull_from_seeds();
+    void register_host();
+    void write_registration(std::uint64_t lease);
+    void renew();
+    void schedule_registration(core::milliseconds after,
+                               std::function<void()> step);
+    void schedule_check();
+
+    boost::asio::io_context& loop;
+    http::async_client& client;
+    metrics::recorder& metrics;
+    store::async_store& store;
+    host_settings own;
+    store_layout layout;
+    std::string disk;
+    std::uint64_t start_number;
+    core::peers::peer_table peer_hosts;
+    core::endpoints::endpoint_table table;
+    peers::beacon_socket socket;
+    std::vector<std::unique_ptr<store::mirror>> copies;
+    std::vector<std::vector<notice>> listeners;
+    std::vector<notice> beacon_listeners;
+    std::vector<std::function<void(core::peers::beacon&)>> extenders;
+    std::map<std::string, handler, std::greater<>> handlers;
+    std::unique_ptr<http::async_server> internal;
+    std::unique_ptr<http::async_server> seed;
+    boost::asio::steady_timer check_timer;
+    boost::asio::steady_timer registration_timer;
+    std::vector<bool> pulling;
+    std::uint64_t lease = 0;
+    std::size_t next_seed = 0;
+    bool leaving = false;
+    bool stopped = false;
+};
+
+} // namespace amaranthhatch::host
--- /dev/null
+++ b/source/http/async_client.cpp
@@ -0,0 +1,467 @@
+#include "http/async_client.hpp"
+
+#include <array>
+#include <charconv>
+#include <functional>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include "errors/failure.hpp"
+#include "http/message_text.hpp"
+#include "http/socket_options.hpp"
+
+namespace amaranthhatch::http
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using tcp = asio::ip::tcp;
+using error_code = boost::system::error_code;
+using steady = std::chrono::steady_clock;
+
+namespace
+{
+
+constexpr std::size_t read_block_bytes = 16u << 10;
+// A connection is not used in the last second before its peer may close it:
+// one second covers the longest round trip and a slow wake-up.
+constexpr std::chrono::milliseconds close_margin{1000};
+// Peers that state no timeout are expected to keep connections this long, the
+// usual default of HTTP servers.
+constexpr std::chrono::milliseconds usual_keep{5000};
+constexpr std::size_t kept_limit = 32;
+
+} // namespace
+
+struct async_client::state
+{
+    explicit state(asio::io_context& loop) : loop(loop) {}
+
+    asio::io_context& loop;
+    std::map<std::string, std::vector<std::shared_ptr<connection>>, std::less<>>
+        kept;
+    client_counts counts;
+};
+
+class async_client::connection : public std::enable_shared_from_this<connection>
+{
+public:
+    connection(std::shared_ptr<state> owner, std::string key)
+        : owner(std::move(owner)), key(std::move(key)),
+          socket(this->owner->loop), timer(this->owner->loop)
+    {
+    }
+
+    void connect(const std::string& address, const client_request& asked,
+                 std::shared_ptr<call_listener> listener);
+    void send(const client_request& asked,
+              std::shared_ptr<call_listener> listener);
+    void close();
+    bool usable() const
+    {
+        return !this->closed && steady::now() < this->usable_until;
+    }
+    std::uint64_t current_turn() const { return this->turn; }
+    bool serves(std::uint64_t asked) const
+    {
+        return this->turn == asked && this->listener;
+    }
+
+private:
+    using parser = beast::http::response_parser<beast::http::string_body>;
+
+    void prepare(const client_request& asked,
+                 std::shared_ptr<call_listener> listener);
+    void write_request();
+    void read_some();
+    void consume();
+    bool parse_once();
+    void hand_body();
+    void on_read_error(error_code error);
+    void end(call_end how, std::string_view detail);
+    void keep();
+    void watch_idle();
+    void new_parser();
+    header_list parsed_headers() const;
+
+    std::shared_ptr<state> owner;
+    std::string key;
+    tcp::socket socket;
+    asio::steady_timer timer;
+    beast::flat_buffer buffer;
+    std::unique_ptr<parser> reading;
+    std::shared_ptr<call_listener> listener;
+    std::shared_ptr<const std::string> body;
+    std::string head;
+    std::string method;
+    steady::time_point usable_until = steady::time_point::max();
+    std::uint64_t turn = 0;
+    bool head_given = false;
+    bool foreign = false;
+    bool written = false;
+    bool closed = false;
+};
+
+namespace
+{
+
+class running_call : public client_call
+{
+public:
+    explicit running_call(std::function<void()> stop) : stop(std::move(stop)) {}
+    void cancel() override
+    {
+        auto once = std::move(this->stop);
+        this->stop = nullptr;
+        if (once)
+            once();
+    }
+
+private:
+    std::function<void()> stop;
+};
+
+std::chrono::milliseconds keep_time(const header_list& headers)
+{
+    constexpr std::string_view name = "timeout=";
+    auto value = headers.get("Keep-Alive");
+    auto at = value.find(name);
+    if (at == value.npos)
+        return usual_keep;
+    int seconds = 0;
+    std::from_chars(value.data() + at + name.size(),
+                    value.data() + value.size(), seconds);
+    return std::chrono::seconds(seconds);
+}
+
+} // namespace
+
+void async_client::connection::prepare(const client_request& asked,
+                                       std::shared_ptr<call_listener> hears)
+{
+    this->listener = std::move(hears);
+    this->body = asked.body;
+    this->method = asked.method;
+    this->head = request_text(asked.method, asked.target, asked.headers,
+                              asked.body ? asked.body->size() : 0);
+    this->turn++;
+    this->written = false;
+    this->new_parser();
+}
+
+void async_client::connection::new_parser()
+{
+    this->reading = std::make_unique<parser>();
+    this->reading->eager(true);
+    this->reading->body_limit(boost::none);
+    if (this->method == "HEAD")
+        this->reading->skip(true);
+    this->head_given = false;
+    this->foreign = false;
+}
+
+void async_client::connection::connect(const std::string& address,
+                                       const client_request& asked,
+                                       std::shared_ptr<call_listener> hears)
+{
+    this->prepare(asked, std::move(hears));
+    this->owner->counts.connected++;
+    auto self = this->shared_from_this();
+    tcp::endpoint peer;
+    try
+    {
+        peer = parse_endpoint(address);
+    }
+    catch (const errors::failure& error)
+    {
+        std::string detail = error.what();
+        asio::post(this->owner->loop, [self, detail]
+                   { self->end(call_end::not_sent, detail); });
+        return;
+    }
+    this->timer.expires_after(asked.connect_limit);
+    this->timer.async_wait(
+        [self](error_code error)
+        {
+            if (!error && !self->closed)
+                self->end(call_end::not_sent, "connect timeout");
+        });
+    this->socket.async_connect(peer,
+                               [self](error_code error)
+                               {
+                                   if (self->closed)
+                                       return;
+                                   self->timer.cancel();
+                                   if (error)
+                                       return self->end(call_end::not_sent,
+                                                        error.message());
+                                   set_traffic_options(self->socket);
+                                   self->write_request();
+                                   self->read_some();
+                               });
+}
+
+void async_client::connection::send(const client_request& asked,
+                                    std::shared_ptr<call_listener> hears)
+{
+    this->owner->counts.reused++;
+    this->prepare(asked, std::move(hears));
+    this->write_request();
+    this->read_some();
+}
+
+void async_client::connection::write_request()
+{
+    auto self = this->shared_from_this();
+    std::array<asio::const_buffer, 2> parts{asio::buffer(this->head),
+                                            asio::const_buffer()};
+    if (this->body)
+        parts[1] = asio::buffer(*this->body);
+    asio::async_write(this->socket, parts,
+                      [self, sent = this->turn](error_code error, std::size_t)
+                      {
+                          // A failed write is followed by a failed read, which
+                          // may still bring an answer that came before it.
+                          if (!error && sent == self->turn)
+                              self->written = true;
+                      });
+}
+
+void async_client::connection::read_some()
+{
+    auto self = this->shared_from_this();
+    this->socket.async_read_some(
+        this->buffer.prepare(read_block_bytes),
+        [self](error_code error, std::size_t count)
+        {
+            if (self->closed || !self->listener)
+                return self->close();
+            if (error)
+                return self->on_read_error(error);
+            self->buffer.commit(count);
+            self->consume();
+        });
+}
+
+void async_client::connection::consume()
+{
+    auto self = this->shared_from_this();
+    while (this->buffer.size() > 0 && !this->reading->is_done())
+        if (!this->parse_once())
+            break;
+    if (this->closed || !this->listener)
+        return;
+    this->hand_body();
+    if (this->closed || !this->listener)
+        return;
+    if (!this->reading->is_done())
+        return this->read_some();
+    if (!this->foreign)
+        return this->end(call_end::complete, {});
+    this->new_parser();
+    if (this->buffer.size() > 0)
+        return this->consume();
+    this->read_some();
+}
+
+bool async_client::connection::parse_once()
+{
+    error_code error;
+    auto used = this->reading->put(this->buffer.data(), error);
+    this->buffer.consume(used);
+    if (this->reading->is_header_done() && !this->head_given)
+    {
+        this->head_given = true;
+        int status = static_cast<int>(this->reading->get().result_int());
+        this->foreign =
+            !this->listener->on_head(status, this->parsed_headers());
+        if (this->foreign)
+            this->owner->counts.foreign_answers++;
+        if (this->closed || !this->listener)
+            return false;
+    }
+    if (error == beast::http::error::need_more)
+        return false;
+    if (error)
+    {
+        this->hand_body();
+        if (!this->closed && this->listener)
+            this->end(call_end::broken, error.message());
+        return false;
+    }
+    return used > 0 || this->reading->is_done();
+}
+
+void async_client::connection::hand_body()
+{
+    if (!this->head_given)
+        return;
+    auto& text = this->reading->get().body();
+    if (text.empty())
+        return;
+    std::string piece;
+    piece.swap(text);
+    if (!this->foreign)
+        this->listener->on_body(piece);
+}
+
+header_list async_client::connection::parsed_headers() const
+{
+    header_list headers;
+    for (const auto& field : this->reading->get())
+        headers.add({field.name_string().data(), field.name_string().size()},
+                    {field.value().data(), field.value().size()});
+    return headers;
+}
+
+void async_client::connection::on_read_error(error_code error)
+{
+    if (error == asio::error::eof && this->head_given && !this->foreign)
+    {
+        error_code at_end;
+        this->reading->put_eof(at_end);
+        if (!at_end && this->reading->is_done())
+        {
+            this->usable_until = steady::time_point::min();
+            return this->end(call_end::complete, {});
+        }
+    }
+    this->end(call_end::broken, error.message());
+}
+
+void async_client::connection::end(call_end how, std::string_view detail)
+{
+    auto self = this->shared_from_this();
+    auto hears = std::move(this->listener);
+    this->listener = nullptr;
+    bool surplus = this->buffer.size() > 0;
+    if (surplus)
+        this->owner->counts.surplus_bytes += this->buffer.size();
+    bool reusable = how == call_end::complete && this->written && !surplus &&
+                    this->reading->keep_alive() &&
+                    this->usable_until != steady::time_point::min();
+    if (reusable)
+        this->keep();
+    else
+        this->close();
+    if (hears)
+        hears->on_end(how, detail);
+}
+
+void async_client::connection::keep()
+{
+    auto limit = keep_time(this->parsed_headers());
+    this->usable_until = steady::now() + limit - close_margin;
+    auto& kept = this->owner->kept[this->key];
+    if (limit <= close_margin || kept.size() >= kept_limit)
+        return this->close();
+    kept.push_back(this->shared_from_this());
+    this->watch_idle();
+}
+
+void async_client::connection::watch_idle()
+{
+    auto self = this->shared_from_this();
+    this->socket.async_wait(tcp::socket::wait_read,
+                            [self, idle = this->turn](error_code)
+                            {
+                                // Bytes or a close on an idle connection
+                                // belong to no request.
+                                if (idle == self->turn && !self->listener)
+                                    self->close();
+                            });
+}
+
+void async_client::connection::close()
+{
+    if (this->closed)
+        return;
+    this->closed = true;
+    this->listener = nullptr;
+    this->timer.cancel();
+    error_code ignored;
+    this->socket.close(ignored);
+    auto found = this->owner->kept.find(this->key);
+    if (found == this->owner->kept.end())
+        return;
+    std::erase(found->second, this->shared_from_this());
+    if (found->second.empty())
+        this->owner->kept.erase(found);
+}
+
+async_client::async_client(asio::io_context& loop)
+    : held(std::make_shared<state>(loop))
+{
+}
+
+async_client::~async_client()
+{
+    while (!this->held->kept.empty())
+        this->forget(std::string(this->held->kept.begin()->first));
+}
+
+std::shared_ptr<client_call>
+async_client::start(std::string_view key, const std::string& address,
+                    const client_request& asked,
+                    std::shared_ptr<call_listener> listener)
+{
+    std::shared_ptr<connection> used;
+    auto found = this->held->kept.find(key);
+    while (!used && found != this->held->kept.end())
+    {
+        auto last = found->second.back();
+        found->second.pop_back();
+        if (found->second.empty())
+        {
+            this->held->kept.erase(found);
+            found = this->held->kept.end();
+        }
+        if (last->usable())
+            used = last;
+        else
+            last->close();
+        if (!used)
+            found = this->held->kept.find(key);
+    }
+    if (used)
+        used->send(asked, std::move(listener));
+    else
+    {
+        used = std::make_shared<connection>(this->held, std::string(key));
+        used->connect(address, asked, std::move(listener));
+    }
+    // A call that has ended may share its connection with a later one, which
+    // cancelling must not touch.
+    std::weak_ptr<connection> weak = used;
+    auto turn = used->current_turn();
+    return std::make_shared<running_call>(
+        [weak, turn]
+        {
+            auto running = weak.lock();
+            if (running && running->serves(turn))
+                running->close();
+        });
+}
+
+void async_client::forget(std::string_view key)
+{
+    auto found = this->held->kept.find(key);
+    if (found == this->held->kept.end())
+        return;
+    auto idle = found->second;
+    for (const auto& each : idle)
+        each->close();
+}
+
+const client_counts& async_client::counts() const
+{
+    return this->held->counts;
+}
+
+} // namespace amaranthhatch::http
--- /dev/null
+++ b/source/http/async_server.cpp
@@ -0,0 +1,470 @@
+#include "http/async_server.hpp"
+
+#include <sys/socket.h>
+
+#include <unordered_set>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include "errors/failure.hpp"
+#include "http/message_text.hpp"
+#include "http/socket_options.hpp"
+
+namespace amaranthhatch::http
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using tcp = asio::ip::tcp;
+using error_code = boost::system::error_code;
+using steady = std::chrono::steady_clock;
+
+namespace
+{
+
+// Timeouts of callers are whole seconds; a quarter second is fine enough.
+constexpr std::chrono::milliseconds sweep_interval{250};
+// A caller that leaves this much unread is cut off: two of the largest reads.
+constexpr std::size_t unsent_limit_bytes = 8u << 20;
+constexpr int listen_backlog = 1024;
+
+} // namespace
+
+struct async_server::state
+{
+    state(asio::io_context& loop, limit_source limits, handler handle)
+        : acceptor(loop), timer(loop), limits(std::move(limits)),
+          handle(std::move(handle))
+    {
+    }
+
+    void accept(const std::shared_ptr<state>& self);
+    void sweep(const std::shared_ptr<state>& self);
+
+    tcp::acceptor acceptor;
+    asio::steady_timer timer;
+    limit_source limits;
+    handler handle;
+    std::unordered_set<session*> sessions;
+    std::size_t in_flight = 0;
+    bool closing = false;
+    bool stopped = false;
+};
+
+class async_server::session : public server_exchange,
+                              public std::enable_shared_from_this<session>
+{
+public:
+    session(tcp::socket accepted, std::shared_ptr<state> owner)
+        : socket(std::move(accepted)), owner(std::move(owner))
+    {
+        this->owner->sessions.insert(this);
+    }
+
+    ~session() override
+    {
+        this->end_exchange();
+        this->owner->sessions.erase(this);
+    }
+
+    void read_next();
+    void close();
+    void close_if_idle();
+    void check_time(steady::time_point now);
+
+    const request& asked() const override { return this->current; }
+    void respond(int status, const header_list& headers,
+                 std::string_view body) override;
+    void begin(int status, const header_list& headers) override;
+    void write(std::string_view piece) override;
+    void finish() override;
+    void abort() override;
+    void on_gone(std::function<void()> gone) override;
+
+private:
+    void on_head(error_code error);
+    void on_request(error_code error);
+    void refuse(int status, std::string_view reason);
+    void watch_peer();
+    void on_readable(error_code error);
+    void on_written(error_code error);
+    void flush();
+    void end_answer();
+    void end_exchange();
+    void lose_peer();
+    bool keeps() const;
+
+    using parser = beast::http::request_parser<beast::http::string_body>;
+
+    tcp::socket socket;
+    std::shared_ptr<state> owner;
+    beast::flat_buffer buffer;
+    std::unique_ptr<parser> reading;
+    request current;
+    std::function<void()> gone;
+    std::string unsent;
+    std::string sending;
+    steady::time_point due = steady::time_point::max();
+    bool counted = false;
+    bool head_seen = false;
+    bool answered = false;
+    bool caller_closes = false;
+    bool close_after_write = false;
+    bool closed = false;
+    bool watching = false;
+};
+
+void async_server::session::read_next()
+{
+    auto limits = this->owner->limits();
+    this->reading = std::make_unique<parser>();
+    this->reading->header_limit(
+        static_cast<std::uint32_t>(limits.header_bytes));
+    this->reading->body_limit(limits.body_bytes);
+    this->head_seen = false;
+    this->due = steady::now() + limits.idle_time;
+    auto self = this->shared_from_this();
+    // The header's time limit counts from its first byte.
+    auto begin_read = [self](error_code error)
+    {
+        if (error || self->closed)
+            return self->close();
+        self->head_seen = true;
+        self->due = steady::now() + self->owner->limits().header_time;
+        beast::http::async_read_header(
+            self->socket, self->buffer, *self->reading,
+            [self](error_code failed, std::size_t) { self->on_head(failed); });
+    };
+    if (this->buffer.size() > 0)
+        return asio::post(this->socket.get_executor(),
+                          [begin_read] { begin_read({}); });
+    this->socket.async_wait(tcp::socket::wait_read, begin_read);
+}
+
+void async_server::session::on_head(error_code error)
+{
+    if (error == beast::http::error::header_limit)
+        return this->refuse(431, "headers over the limit");
+    if (error == beast::http::error::body_limit)
+        return this->refuse(413, "body over the limit");
+    if (error == beast::http::error::end_of_stream || this->closed)
+        return this->close();
+    if (error)
+    {
+        bool syntax =
+            error.category() == make_error_code(beast::http::error::bad_method)
+                                    .category() &&
+            error != beast::http::error::partial_message;
+        return syntax ? this->refuse(400, "not an HTTP/1.1 request")
+                      : this->close();
+    }
+    this->due = steady::now() + this->owner->limits().idle_time;
+    if (!this->reading->is_done() &&
+        beast::iequals(this->reading->get()[beast::http::field::expect],
+                       "100-continue"))
+    {
+        this->unsent += "HTTP/1.1 100 Continue\r\n\r\n";
+        this->flush();
+    }
+    auto self = this->shared_from_this();
+    beast::http::async_read(this->socket, this->buffer, *this->reading,
+                            [self](error_code failed, std::size_t)
+                            { self->on_request(failed); });
+}
+
+void async_server::session::on_request(error_code error)
+{
+    if (error == beast::http::error::body_limit)
+        return this->refuse(413, "body over the limit");
+    if (error || this->closed)
+        return this->close();
+    this->due = steady::time_point::max();
+    auto& message = this->reading->get();
+    this->current = {};
+    this->current.method = std::string(message.method_string());
+    this->current.target = std::string(message.target());
+    split_target(this->current);
+    for (const auto& field : message)
+        this->current.headers.add(
+            {field.name_string().data(), field.name_string().size()},
+            {field.value().data(), field.value().size()});
+    this->current.body = std::move(message.body());
+    this->caller_closes = !message.keep_alive();
+    this->answered = false;
+    this->counted = true;
+    this->owner->in_flight++;
+    this->watch_peer();
+    this->owner->handle(this->shared_from_this());
+}
+
+void async_server::session::refuse(int status, std::string_view reason)
+{
+    this->answered = false;
+    this->caller_closes = true;
+    header_list headers;
+    headers.add("Content-Type", "text/plain");
+    this->respond(status, headers, reason);
+}
+
+bool async_server::session::keeps() const
+{
+    return !this->caller_closes && !this->owner->closing;
+}
+
+void async_server::session::respond(int status, const header_list& headers,
+                                    std::string_view body)
+{
+    if (this->answered || this->closed)
+        return;
+    this->unsent += head_text(status, headers, body.size(), this->keeps());
+    this->unsent += body;
+    this->end_answer();
+}
+
+void async_server::session::begin(int status, const header_list& headers)
+{
+    if (this->answered || this->closed)
+        return;
+    this->unsent += head_text(status, headers, std::nullopt, this->keeps());
+    this->flush();
+}
+
+void async_server::session::write(std::string_view piece)
+{
+    if (this->answered || this->closed || piece.empty())
+        return;
+    append_chunk(this->unsent, piece);
+    if (this->unsent.size() > unsent_limit_bytes)
+        return this->lose_peer();
+    this->flush();
+}
+
+void async_server::session::finish()
+{
+    if (this->answered || this->closed)
+        return;
+    this->unsent += last_chunk;
+    this->end_answer();
+}
+
+void async_server::session::end_answer()
+{
+    this->answered = true;
+    this->gone = nullptr;
+    this->close_after_write = !this->keeps();
+    this->flush();
+}
+
+void async_server::session::abort()
+{
+    if (this->answered)
+        return;
+    this->answered = true;
+    this->gone = nullptr;
+    // What was written before goes out first; the missing end mark tells the
+    // caller that the answer isn't whole.
+    this->close_after_write = true;
+    this->flush();
+    if (this->sending.empty())
+        this->close();
+}
+
+void async_server::session::on_gone(std::function<void()> gone)
+{
+    this->gone = std::move(gone);
+}
+
+void async_server::session::flush()
+{
+    if (!this->sending.empty() || this->unsent.empty() || this->closed)
+        return;
+    this->sending.swap(this->unsent);
+    auto self = this->shared_from_this();
+    asio::async_write(this->socket, asio::buffer(this->sending),
+                      [self](error_code error, std::size_t)
+                      { self->on_written(error); });
+}
+
+void async_server::session::on_written(error_code error)
+{
+    this->sending.clear();
+    if (error)
+        return this->lose_peer();
+    if (!this->unsent.empty())
+        return this->flush();
+    if (!this->answered)
+        return;
+    this->end_exchange();
+    if (this->close_after_write)
+        return this->close();
+    if (!this->closed && this->reading)
+    {
+        this->reading.reset();
+        this->read_next();
+    }
+}
+
+void async_server::session::watch_peer()
+{
+    if (this->watching)
+        return;
+    this->watching = true;
+    auto self = this->shared_from_this();
+    this->socket.async_wait(tcp::socket::wait_read, [self](error_code error)
+                            { self->on_readable(error); });
+}
+
+void async_server::session::on_readable(error_code error)
+{
+    this->watching = false;
+    if (this->closed || !this->counted)
+        return;
+    char byte = 0;
+    auto count = error ? -1
+                       : recv(this->socket.native_handle(), &byte, 1,
+                              MSG_PEEK | MSG_DONTWAIT);
+    bool again = count < 0 && !error &&
+                 (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+    if (again)
+        return this->watch_peer();
+    // Bytes of a next request hide a later close; the write then finds it.
+    if (count <= 0)
+        this->lose_peer();
+}
+
+void async_server::session::lose_peer()
+{
+    auto gone = std::move(this->gone);
+    this->gone = nullptr;
+    this->answered = true;
+    this->close();
+    if (gone)
+        gone();
+}
+
+void async_server::session::end_exchange()
+{
+    if (!this->counted)
+        return;
+    this->counted = false;
+    this->owner->in_flight--;
+}
+
+void async_server::session::close()
+{
+    if (this->closed)
+        return;
+    this->closed = true;
+    this->end_exchange();
+    error_code ignored;
+    this->socket.shutdown(tcp::socket::shutdown_both, ignored);
+    this->socket.close(ignored);
+}
+
+void async_server::session::close_if_idle()
+{
+    if (!this->counted && !this->head_seen && this->buffer.size() == 0)
+        this->close();
+}
+
+void async_server::session::check_time(steady::time_point now)
+{
+    if (now > this->due)
+        this->close();
+}
+
+void async_server::state::accept(const std::shared_ptr<state>& self)
+{
+    this->acceptor.async_accept(
+        [self](error_code error, tcp::socket accepted)
+        {
+            if (self->stopped)
+                return;
+            if (!error)
+            {
+                set_traffic_options(accepted);
+                std::make_shared<session>(std::move(accepted), self)
+                    ->read_next();
+            }
+            self->accept(self);
+        });
+}
+
+void async_server::state::sweep(const std::shared_ptr<state>& self)
+{
+    this->timer.expires_after(sweep_interval);
+    this->timer.async_wait(
+        [self](error_code error)
+        {
+            if (error)
+                return;
+            auto now = steady::now();
+            std::vector<std::shared_ptr<session>> open;
+            for (session* each : self->sessions)
+                open.push_back(each->shared_from_this());
+            for (const auto& each : open)
+                each->check_time(now);
+            self->sweep(self);
+        });
+}
+
+async_server::async_server(asio::io_context& loop, const std::string& address,
+                           limit_source limits, handler handle)
+    : held(
+          std::make_shared<state>(loop, std::move(limits), std::move(handle)))
+{
+    auto endpoint = parse_endpoint(address);
+    error_code error;
+    auto& acceptor = this->held->acceptor;
+    acceptor.open(endpoint.protocol(), error);
+    acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    acceptor.bind(endpoint, error);
+    if (!error)
+        acceptor.listen(listen_backlog, error);
+    if (error)
+        throw errors::failure("listen", address,
+                              "the address can't be used; choose a free one");
+    this->held->accept(this->held);
+    this->held->sweep(this->held);
+}
+
+async_server::~async_server()
+{
+    this->stop_listening();
+    this->held->timer.cancel();
+}
+
+void async_server::close_after_answers()
+{
+    this->held->closing = true;
+}
+
+void async_server::stop_listening()
+{
+    this->held->stopped = true;
+    error_code ignored;
+    this->held->acceptor.close(ignored);
+    std::vector<std::shared_ptr<session>> open;
+    for (session* each : this->held->sessions)
+        open.push_back(each->shared_from_this());
+    for (const auto& each : open)
+        each->close_if_idle();
+}
+
+std::size_t async_server::in_flight() const
+{
+    return this->held->in_flight;
+}
+
+std::size_t async_server::connections() const
+{
+    return this->held->sessions.size();
+}
+
+} // namespace amaranthhatch::http
--- a/source/http/exchange.cpp
+++ b/source/http/exchange.cpp
@@ -10,12 +10,17 @@
     this->lines.push_back({std::string(name), std::string(value)});
 }
 
+bool header_list::same_name(std::string_view left, std::string_view right)
+{
+    return left.size() == right.size() &&
+           strncasecmp(left.data(), right.data(), left.size()) == 0;
+}
+
 std::string_view header_list::get(std::string_view name) const
 {
     for (const auto& line : this->lines)
     {
-        if (line.name.size() == name.size() &&
-            strncasecmp(line.name.data(), name.data(), name.size()) == 0)
+        if (same_name(line.name, name))
             return line.value;
     }
     return {};
--- a/source/http/exchange.hpp
+++ b/source/http/exchange.hpp
@@ -22,6 +22,9 @@
 public:
     void add(std::string_view name, std::string_view value);
 
+    /// @brief True where two header names are equal without case.
+    static bool same_name(std::string_view left, std::string_view right);
+
     /// @brief The first value under a name, or an empty view.
     std::string_view get(std::string_view name) const;
 
@@ -35,6 +38,8 @@
 struct request
 {
     std::string method;
+    /// The path and query exactly as sent; empty where a server splits them.
+    std::string target;
     std::string path;
     std::string query;
     header_list headers;
--- /dev/null
+++ b/source/http/message_text.cpp
@@ -0,0 +1,117 @@
+#include "http/message_text.hpp"
+
+#include <array>
+#include <cstdio>
+
+namespace amaranthhatch::http
+{
+
+namespace
+{
+
+struct phrase
+{
+    int status;
+    std::string_view text;
+};
+
+constexpr std::array phrases{phrase{200, "OK"},
+                             phrase{202, "Accepted"},
+                             phrase{400, "Bad Request"},
+                             phrase{404, "Not Found"},
+                             phrase{405, "Method Not Allowed"},
+                             phrase{408, "Request Timeout"},
+                             phrase{413, "Content Too Large"},
+                             phrase{421, "Misdirected Request"},
+                             phrase{422, "Unprocessable Content"},
+                             phrase{429, "Too Many Requests"},
+                             phrase{431, "Request Header Fields Too Large"},
+                             phrase{500, "Internal Server Error"},
+                             phrase{502, "Bad Gateway"},
+                             phrase{503, "Service Unavailable"},
+                             phrase{504, "Gateway Timeout"}};
+
+constexpr std::array<std::string_view, 9> connection_headers{
+    "connection", "keep-alive",        "proxy-connection",
+    "te",         "trailer",           "transfer-encoding",
+    "upgrade",    "content-length",    "proxy-authorization"};
+
+void append_headers(std::string& text, const header_list& headers)
+{
+    for (const auto& line : headers.all())
+    {
+        if (is_connection_header(line.name))
+            continue;
+        text += line.name;
+        text += ": ";
+        text += line.value;
+        text += "\r\n";
+    }
+}
+
+} // namespace
+
+std::string_view status_phrase(int status)
+{
+    for (const auto& known : phrases)
+        if (known.status == status)
+            return known.text;
+    return "Status";
+}
+
+bool is_connection_header(std::string_view name)
+{
+    for (auto known : connection_headers)
+        if (header_list::same_name(name, known))
+            return true;
+    return false;
+}
+
+std::string head_text(int status, const header_list& headers,
+                      std::optional<std::size_t> length, bool keep)
+{
+    std::string text = "HTTP/1.1 " + std::to_string(status) + " ";
+    text += status_phrase(status);
+    text += "\r\n";
+    append_headers(text, headers);
+    if (!keep)
+        text += "Connection: close\r\n";
+    if (length)
+        text += "Content-Length: " + std::to_string(*length) + "\r\n\r\n";
+    else
+        text += "Transfer-Encoding: chunked\r\n\r\n";
+    return text;
+}
+
+std::string request_text(std::string_view method, std::string_view target,
+                         const header_list& headers, std::size_t length)
+{
+    std::string text(method);
+    text += ' ';
+    text += target;
+    text += " HTTP/1.1\r\n";
+    append_headers(text, headers);
+    if (length > 0 || method == "POST" || method == "PUT")
+        text += "Content-Length: " + std::to_string(length) + "\r\n";
+    text += "\r\n";
+    return text;
+}
+
+void append_chunk(std::string& out, std::string_view piece)
+{
+    char size[20];
+    int digits = std::snprintf(size, sizeof size, "%zx\r\n", piece.size());
+    out.append(size, static_cast<std::size_t>(digits));
+    out += piece;
+    out += "\r\n";
+}
+
+void split_target(request& asked)
+{
+    auto mark = asked.target.find('?');
+    asked.path = asked.target.substr(0, mark);
+    asked.query =
+        mark == asked.target.npos ? "" : asked.target.substr(mark + 1);
+}
+
+} // namespace amaranthhatch::http
--- /dev/null
+++ b/source/http/message_text.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "http/exchange.hpp"
+
+namespace amaranthhatch::http
+{
+
+/// @brief The bytes that end a chunked body.
+inline constexpr std::string_view last_chunk = "0\r\n\r\n";
+
+/// @brief The customary phrase of a status, such as "Not Found".
+std::string_view status_phrase(int status);
+
+/// @brief True for headers that concern one connection only (RFC 9110, 7.6.1)
+/// or the framing of one message.
+bool is_connection_header(std::string_view name);
+
+/// @brief The head of an answer, with a length or with chunked framing.
+///
+/// Headers that concern one connection are left out and written anew.
+std::string head_text(int status, const header_list& headers,
+                      std::optional<std::size_t> length, bool keep);
+
+/// @brief The head of a request.
+std::string request_text(std::string_view method, std::string_view target,
+                         const header_list& headers, std::size_t length);
+
+/// @brief Appends one piece of a chunked body.
+void append_chunk(std::string& out, std::string_view piece);
+
+/// @brief Fills a request's path and query from its target.
+void split_target(request& asked);
+
+} // namespace amaranthhatch::http
--- /dev/null
+++ b/source/http/socket_options.cpp
@@ -0,0 +1,57 @@
+#include "http/socket_options.hpp"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <charconv>
+
+#include "errors/failure.hpp"
+
+namespace amaranthhatch::http
+{
+
+namespace
+{
+
+// A silent peer is found after idle + count * interval = 3 s, which is below
+// the shortest span after which hosts count as in touch again (4 s).
+constexpr int keepalive_idle_s = 1;
+constexpr int keepalive_interval_s = 1;
+constexpr int keepalive_count = 2;
+// Unacknowledged bytes break the connection after the same time.
+constexpr int unacknowledged_limit_ms = 3000;
+
+void set_option(int socket, int level, int name, int value)
+{
+    setsockopt(socket, level, name, &value, sizeof value);
+}
+
+} // namespace
+
+void set_traffic_options(boost::asio::ip::tcp::socket& socket)
+{
+    int handle = socket.native_handle();
+    set_option(handle, IPPROTO_TCP, TCP_NODELAY, 1);
+    set_option(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set_option(handle, IPPROTO_TCP, TCP_KEEPIDLE, keepalive_idle_s);
+    set_option(handle, IPPROTO_TCP, TCP_KEEPINTVL, keepalive_interval_s);
+    set_option(handle, IPPROTO_TCP, TCP_KEEPCNT, keepalive_count);
+    set_option(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_limit_ms);
+}
+
+boost::asio::ip::tcp::endpoint parse_endpoint(const std::string& address)
+{
+    auto colon = address.rfind(':');
+    boost::system::error_code error;
+    auto ip = boost::asio::ip::make_address_v4(address.substr(0, colon), error);
+    unsigned port = 0;
+    if (colon != address.npos)
+        std::from_chars(address.data() + colon + 1,
+                        address.data() + address.size(), port);
+    if (error || port == 0 || port > 65535)
+        throw errors::failure("parse address", address,
+                              "it isn't IP:PORT; write it with numbers");
+    return {ip, static_cast<std::uint16_t>(port)};
+}
+
+} // namespace amaranthhatch::http
--- /dev/null
+++ b/source/logging/bounded_sink.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "logging/event.hpp"
+
+namespace amaranthhatch::logging
+{
+
+/// @brief Writes lines to a descriptor without ever waiting for its reader.
+///
+/// Each event name may write a bounded number of lines a second; what a full
+/// descriptor does not take is kept up to a bound. Both kinds of dropped
+/// lines are counted and reported by the next line that goes out.
+class bounded_sink
+{
+public:
+    bounded_sink(int descriptor, std::string_view program,
+                 std::string_view node);
+
+    void write(level grave, std::string_view name, std::string_view line);
+
+    /// @brief Lines dropped since the start.
+    std::uint64_t dropped() const { return this->total_dropped; }
+
+private:
+    struct budget
+    {
+        std::int64_t second = 0;
+        int lines = 0;
+    };
+
+    bool allowed(std::string_view name, std::int64_t second);
+    void append(level grave, std::string_view line);
+    void drain();
+
+    int descriptor;
+    std::string prefix;
+    std::string waiting;
+    std::map<std::string, budget, std::less<>> budgets;
+    std::uint64_t unreported = 0;
+    std::uint64_t total_dropped = 0;
+};
+
+/// @brief Installs a bounded sink on standard output for this process.
+void start_bounded(std::string_view program, std::string_view node);
+
+} // namespace amaranthhatch::logging
--- a/source/logging/event.cpp
+++ b/source/logging/event.cpp
@@ -1,9 +1,6 @@
 #include "logging/event.hpp"
 
-#include <log4cxx/basicconfigurator.h>
-#include <log4cxx/consoleappender.h>
-#include <log4cxx/logger.h>
-#include <log4cxx/patternlayout.h>
+#include <utility>
 
 namespace amaranthhatch::logging
 {
@@ -11,6 +8,12 @@
 namespace
 {
 
+sink& current_sink()
+{
+    static sink installed;
+    return installed;
+}
+
 std::string quoted(std::string_view value)
 {
     bool plain = !value.empty() && value.find_first_of(" \"=\n") == value.npos;
@@ -27,33 +30,38 @@
     return text;
 }
 
-log4cxx::LevelPtr library_level(level grave)
+} // namespace
+
+void install(sink lines)
+{
+    current_sink() = std::move(lines);
+}
+
+std::string_view level_name(level grave)
 {
     switch (grave)
     {
     case level::debug:
-        return log4cxx::Level::getDebug();
+        return "DEBUG";
     case level::info:
-        return log4cxx::Level::getInfo();
+        return "INFO";
     case level::warning:
-        return log4cxx::Level::getWarn();
+        return "WARN";
     case level::error:
         break;
     }
-    return log4cxx::Level::getError();
+    return "ERROR";
 }
 
-} // namespace
-
-event::event(level grave, std::string_view name) : grave(grave)
+event::event(level grave, std::string_view name)
+    : grave(grave), name(name), line("event=" + quoted(name))
 {
-    this->line = "event=" + quoted(name);
 }
 
 event::~event()
 {
-    auto logger = log4cxx::Logger::getRootLogger();
-    logger->log(library_level(this->grave), this->line);
+    if (current_sink())
+        current_sink()(this->grave, this->name, this->line);
 }
 
 event& event::with(std::string_view key, std::string_view value)
@@ -67,21 +75,11 @@
 
 event& event::with(std::string_view key, std::int64_t value)
 {
-    return this->with(key, std::to_string(value));
-}
-
-void start(std::string_view program, std::string_view node)
-{
-    std::string pattern =
-        "time=%d{yyyy-MM-ddTHH:mm:ss.SSS} level=%p program=" + quoted(program) +
-        " node=" + quoted(node) + " %m%n";
-    auto layout = std::make_shared<log4cxx::PatternLayout>(pattern);
-    auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-        layout, log4cxx::ConsoleAppender::getSystemErr());
-    auto root = log4cxx::Logger::getRootLogger();
-    root->removeAllAppenders();
-    root->addAppender(appender);
-    root->setLevel(log4cxx::Level::getInfo());
+    this->line += ' ';
+    this->line += key;
+    this->line += '=';
+    this->line += std::to_string(value);
+    return *this;
 }
 
 } // namespace amaranthhatch::logging
--- a/source/logging/event.hpp
+++ b/source/logging/event.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
 
@@ -16,6 +17,16 @@
     error
 };
 
+/// @brief The upper-case name of a level, as log lines show it.
+std::string_view level_name(level grave);
+
+/// @brief Takes finished lines: level, event name and key=value text.
+using sink =
+    std::function<void(level grave, std::string_view name, std::string_view)>;
+
+/// @brief Installs the sink of this process; to be called before any event.
+void install(sink lines);
+
 /// @brief One log line of key=value pairs, written when it goes out of scope.
 ///
 /// Values with blanks or quotes are quoted, so that a line stays parsable.
@@ -32,6 +43,7 @@
 
 private:
     level grave;
+    std::string name;
     std::string line;
 };
 
