batches: Echo leases between disk hosts

Cause: beacons carried no echoes, so that no owner held a lease and every job was refused. Ruled out: the backlog limit and unserved partitions, by the new log line of each refusal. Change: hosts with a disk echo each other's beacons; refusals are logged with their reason.

--- a/source/batches/batch_service.cpp
+++ b/source/batches/batch_service.cpp
@@ -159,9 +159,9 @@
         // Without the lease another owner may hold the job already, and its
         // count of what waits isn't known.
         if (!owner->holds_lease() || !owner->recovered())
-            return exchange->respond(503, {}, "no lease\n");
+            return this->refuse(*job, *exchange, 503, "no lease");
         if (this->over_limit(*job))
-            return exchange->respond(429, {}, "over the route's limit\n");
+            return this->refuse(*job, *exchange, 429, "over the route's limit");
     }
     this->submissions.push_back(
         {job->id, exchange, host::boot_now() + commit_limit});
@@ -169,6 +169,22 @@
         this->accept(std::move(*job), exchange);
 }
 
+void batch_service::refuse(const model::job& job,
+                           http::server_exchange& exchange, int status,
+                           std::string_view reason)
+{
+    auto owner = this->placement.owner_of(job.id);
+    this->runtime.metrics_recorder().count("hatch_jobs_refused_total", "reason",
+                                           reason);
+    logging::event(logging::level::warning, "job_refused")
+        .with("job", job.id)
+        .with("status", status)
+        .with("reason", reason)
+        .with("epoch", owner ? static_cast<std::int64_t>(owner->epoch()) : -1)
+        .with("recovered", owner && owner->recovered() ? 1 : 0);
+    exchange.respond(status, {}, std::string(reason) + "\n");
+}
+
 bool batch_service::over_limit(const model::job& job) const
 {
     const auto* route = this->scheduler.route_of(job);
--- a/source/batches/batch_service.hpp
+++ b/source/batches/batch_service.hpp
@@ -71,6 +71,8 @@
     void on_jobs(const exchange_ptr& exchange);
     void submit(const exchange_ptr& exchange);
     void accept(core::batches::job&& job, const exchange_ptr& exchange);
+    void refuse(const core::batches::job& job, http::server_exchange& exchange,
+                int status, std::string_view reason);
     bool over_limit(const core::batches::job& job) const;
     void read(const std::string& job, const exchange_ptr& exchange);
     void read_body(const std::string& job, const exchange_ptr& exchange);
--- a/source/core/peers/peer_table.cpp
+++ b/source/core/peers/peer_table.cpp
@@ -126,11 +126,11 @@
            now - other.heard <= this->bounds.silence;
 }
 
-std::vector<echo> peer_table::echoes(instant now) const
+std::vector<echo> peer_table::disk_echoes(instant now) const
 {
     std::vector<echo> out;
     for (const auto& [name, known] : this->peers)
-        if (this->alive(known, now))
+        if (!known.disk.empty() && this->alive(known, now))
             out.push_back({hash(name), known.incarnation, known.sent_ms});
     return out;
 }
--- a/source/core/peers/peer_table.hpp
+++ b/source/core/peers/peer_table.hpp
@@ -74,8 +74,8 @@
         return this->peers;
     }
 
-    /// @brief The echoes to put into the next beacon.
-    std::vector<echo> echoes(instant now) const;
+    /// @brief Echoes of live hosts with a disk, for the next beacon.
+    std::vector<echo> disk_echoes(instant now) const;
 
     /// @brief Sum of what other live hosts run at an endpoint.
     endpoint_load load(std::uint64_t endpoint) const;
--- a/source/host/host_runtime.cpp
+++ b/source/host/host_runtime.cpp
@@ -177,6 +177,9 @@
     out.region = this->own.region;
     out.disk = this->disk;
     out.leaving = this->leaving;
+    // Only hosts with a disk hold leases from each other.
+    if (!this->disk.empty())
+        out.echoes = this->peer_hosts.disk_echoes(now);
     out.loads = this->table.own_loads();
     for (const auto& each : this->copies)
         out.copies.push_back({each->changed(), each->as_of()});
