http: Use one stack, Asio and Beast, on both sides

Cause: the routing core came with its own HTTP while libmicrohttpd and libcurl served the older programs; two stacks must not stay. Ruled out: keeping libmicrohttpd, whose suspended connections do not show a caller that leaves. Change: http::server and http::client keep their interfaces on top of the asynchronous ones. Conclusion: libmicrohttpd and libcurl are no longer needed.

--- a/source/batches/batch_client.cpp
+++ b/source/batches/batch_client.cpp
@@ -47,8 +47,7 @@
         return nullptr;
     const auto& place =
         this->placement->partitions[this->placement->partition_of(job)];
-    return this->runtime.peers().find_disk(place.owner_disk,
-                                           host::boot_now());
+    return this->runtime.peers().find_disk(place.owner_disk, host::boot_now());
 }
 
 void batch_client::retry(std::shared_ptr<request> asked, job_outcome otherwise)
@@ -57,9 +56,8 @@
         return asked->done(otherwise, {});
     auto timer = std::make_shared<boost::asio::steady_timer>(
         this->runtime.event_loop(), retry_pause);
-    timer->async_wait([this, asked = std::move(asked),
-                       timer](boost::system::error_code)
-                      { this->call(asked); });
+    timer->async_wait([this, asked = std::move(asked), timer](
+                          boost::system::error_code) { this->call(asked); });
 }
 
 void batch_client::call(std::shared_ptr<request> asked)
@@ -122,8 +120,8 @@
     asked->done =
         [done = std::move(done)](job_outcome how, const std::string& body)
     {
-        auto answer = how == job_outcome::done ? unpack_read_answer(body)
-                                               : std::nullopt;
+        auto answer =
+            how == job_outcome::done ? unpack_read_answer(body) : std::nullopt;
         if (how == job_outcome::done && !answer)
             how = job_outcome::unavailable;
         done(how, answer ? *answer : read_answer());
--- a/source/batches/batch_service.cpp
+++ b/source/batches/batch_service.cpp
@@ -43,12 +43,12 @@
       scheduler(runtime, this->placement, this->jobs, std::move(names)),
       timer(runtime.event_loop())
 {
-    runtime.serve("/batches/append", [this](exchange_ptr exchange)
-                  { this->on_append(exchange); });
+    runtime.serve("/batches/append",
+                  [this](exchange_ptr exchange) { this->on_append(exchange); });
     runtime.serve("/batches/reconcile", [this](exchange_ptr exchange)
                   { this->on_reconcile(exchange); });
-    runtime.serve(std::string(jobs_prefix), [this](exchange_ptr exchange)
-                  { this->on_jobs(exchange); });
+    runtime.serve(std::string(jobs_prefix),
+                  [this](exchange_ptr exchange) { this->on_jobs(exchange); });
     runtime.extend_beacon([this](core::peers::beacon& out)
                           { out.backlogs = this->scheduler.backlogs(); });
     runtime.on_beacon([this] { this->scheduler.pump(); });
@@ -194,9 +194,9 @@
     for (const auto& item : job.items)
         wanted += item.tokens;
     auto now = host::boot_now();
-    auto waiting = this->scheduler.backlog_tokens(route->name) +
-                   this->runtime.peers().backlog_tokens(
-                       core::hash(route->name), now);
+    auto waiting =
+        this->scheduler.backlog_tokens(route->name) +
+        this->runtime.peers().backlog_tokens(core::hash(route->name), now);
     return waiting + wanted > route->backlog_tokens;
 }
 
--- a/source/batches/disk_log.cpp
+++ b/source/batches/disk_log.cpp
@@ -120,8 +120,8 @@
     std::snprintf(text, sizeof text, "%08x%08x", device(), device());
     this->disk_identity = text;
     int made = ::open(path.c_str(), O_CREAT | O_WRONLY | O_TRUNC, 0644);
-    bool stored = made >= 0 && write_all(made, this->disk_identity) &&
-                  ::fsync(made) == 0;
+    bool stored =
+        made >= 0 && write_all(made, this->disk_identity) && ::fsync(made) == 0;
     if (made >= 0)
         ::close(made);
     if (!stored)
@@ -147,8 +147,8 @@
     {
         auto name = each.path().filename().string();
         if (name.starts_with(prefix))
-            out.push_back(std::strtoull(name.c_str() + prefix.size(), nullptr,
-                                        10));
+            out.push_back(
+                std::strtoull(name.c_str() + prefix.size(), nullptr, 10));
     }
     std::sort(out.begin(), out.end());
     return out;
@@ -234,8 +234,8 @@
         {
             std::unique_lock lock(this->guard);
             this->arrived.wait(
-                lock, [this]
-                { return this->stopping || !this->waiting.empty(); });
+                lock,
+                [this] { return this->stopping || !this->waiting.empty(); });
             if (this->waiting.empty())
                 return;
             group = std::move(this->waiting.front());
--- a/source/batches/item_run.cpp
+++ b/source/batches/item_run.cpp
@@ -21,9 +21,9 @@
 item_run::item_run(item_scheduler& owner, std::string job, std::uint32_t item,
                    const core::batches::item& content, std::string authority,
                    const core::endpoints::endpoint& chosen)
-    : owner(owner), job_id(std::move(job)), item_number(item),
-      content(content), authority(std::move(authority)),
-      endpoint_id(chosen.id), address(chosen.address)
+    : owner(owner), job_id(std::move(job)), item_number(item), content(content),
+      authority(std::move(authority)), endpoint_id(chosen.id),
+      address(chosen.address)
 {
     const auto* log = owner.jobs.find(this->job_id);
     this->held = log->records().front();
@@ -65,8 +65,7 @@
         return false;
     this->owner.runtime.endpoints().progress(this->run, host::boot_now());
     this->status = answered;
-    this->not_run =
-        !headers.get(names.not_run).empty() || answered == 421;
+    this->not_run = !headers.get(names.not_run).empty() || answered == 421;
     this->signed_answer = !headers.get(names.signature).empty() &&
                           headers.get("Content-Encoding").empty();
     return true;
--- a/source/batches/item_scheduler.cpp
+++ b/source/batches/item_scheduler.cpp
@@ -42,14 +42,13 @@
         this->table = std::move(newer);
 }
 
-const core::routes::route*
-item_scheduler::route_of(const model::job& of) const
+const core::routes::route* item_scheduler::route_of(const model::job& of) const
 {
     if (!this->table)
         return nullptr;
     const auto* found = this->table->match(of.authority, of.path);
-    bool batch = found != nullptr &&
-                 found->kind == core::routes::route_kind::batch;
+    bool batch =
+        found != nullptr && found->kind == core::routes::route_kind::batch;
     return batch ? found : nullptr;
 }
 
@@ -145,10 +144,9 @@
         auto& state = this->progress[job.id][item];
         if (state.running)
             continue;
-        bool expired =
-            route == nullptr ||
-            (route->retention.count() > 0 &&
-             wall > job.submitted_ms + route->retention.count());
+        bool expired = route == nullptr ||
+                       (route->retention.count() > 0 &&
+                        wall > job.submitted_ms + route->retention.count());
         if (expired)
         {
             given_up.push_back(item);
@@ -203,10 +201,9 @@
 
 bool item_scheduler::start_item(const candidate& next, core::instant now)
 {
-    auto service =
-        core::routes::select_service(*next.route, host::uniform());
-    auto chosen = this->runtime.endpoints().choose_batch(
-        service, slot_reserve, now, host::uniform());
+    auto service = core::routes::select_service(*next.route, host::uniform());
+    auto chosen = this->runtime.endpoints().choose_batch(service, slot_reserve,
+                                                         now, host::uniform());
     if (chosen.chosen == nullptr)
         return false;
     const auto* log = this->jobs.find(next.job);
--- a/source/batches/job_store.cpp
+++ b/source/batches/job_store.cpp
@@ -68,9 +68,9 @@
 {
     auto found = this->jobs.find(job);
     if (found == this->jobs.end())
-        found = this->jobs
-                    .emplace(std::string(job), stored_job(std::string(job)))
-                    .first;
+        found =
+            this->jobs.emplace(std::string(job), stored_job(std::string(job)))
+                .first;
     return found->second;
 }
 
@@ -112,8 +112,7 @@
         [this, id = from.job, count, rewrites, stored = std::move(stored)]
         {
             auto found = this->jobs.find(id);
-            if (found != this->jobs.end() &&
-                found->second.rewrites == rewrites)
+            if (found != this->jobs.end() && found->second.rewrites == rewrites)
                 found->second.synced = std::max(found->second.synced, count);
             if (stored)
                 stored();
@@ -156,9 +155,11 @@
         known.rewrites++;
         known.synced = std::min(known.synced, same);
     }
-    job_append fresh{from.job, same, known.log.epoch_before(same),
-                     {now.begin() + static_cast<std::ptrdiff_t>(same),
-                      now.end()}};
+    job_append fresh{
+        from.job,
+        same,
+        known.log.epoch_before(same),
+        {now.begin() + static_cast<std::ptrdiff_t>(same), now.end()}};
     this->write(fresh, std::move(stored));
     return result;
 }
@@ -275,8 +276,8 @@
     for (const auto& [id, job] : this->jobs)
     {
         disk_frame frame;
-        frame.append = {id, 0, 0,
-                        {job.log.records().begin(), job.log.records().end()}};
+        frame.append = {
+            id, 0, 0, {job.log.records().begin(), job.log.records().end()}};
         frames.push_back(pack(frame));
         this->live_bytes += frames.back().size();
     }
--- a/source/batches/partition_owner.cpp
+++ b/source/batches/partition_owner.cpp
@@ -138,8 +138,7 @@
 {
     if (this->learning_disk == disk)
         return;
-    if (!this->learning_disk.empty() &&
-        !this->place.holds(this->learning_disk))
+    if (!this->learning_disk.empty() && !this->place.holds(this->learning_disk))
         this->copies.erase(this->learning_disk);
     this->learning_disk = disk;
     if (!disk.empty())
@@ -173,13 +172,11 @@
     this->tick();
 }
 
-void partition_owner::call(
-    const std::string& disk, std::string path, std::string body,
-    core::milliseconds limit,
-    std::function<void(std::optional<std::string>)> done)
+void partition_owner::call(const std::string& disk, std::string path,
+                           std::string body, core::milliseconds limit,
+                           std::function<void(std::optional<std::string>)> done)
 {
-    const auto* peer =
-        this->runtime.peers().find_disk(disk, host::boot_now());
+    const auto* peer = this->runtime.peers().find_disk(disk, host::boot_now());
     if (peer == nullptr)
         return done(std::nullopt);
     http::client_request asked;
@@ -242,8 +239,8 @@
                    auto found = self->copies.find(disk);
                    if (self->stopped || found == self->copies.end())
                        return;
-                   auto answer = body ? unpack_reconcile_answer(*body)
-                                      : std::nullopt;
+                   auto answer =
+                       body ? unpack_reconcile_answer(*body) : std::nullopt;
                    bool usable = answer && answer->state.result ==
                                                append_answer::verdict::stored;
                    if (usable)
@@ -371,8 +368,8 @@
     copy.sending = true;
     auto self = this->shared_from_this();
     this->call(disk, "/batches/append", pack(out), append_limit,
-               [self, disk, expired = out.expired](
-                   const std::optional<std::string>& body)
+               [self, disk,
+                expired = out.expired](const std::optional<std::string>& body)
                {
                    auto at = self->copies.find(disk);
                    if (self->stopped || at == self->copies.end())
--- a/source/batches/placement_agent.cpp
+++ b/source/batches/placement_agent.cpp
@@ -80,7 +80,8 @@
             !peer.leaving)
             out.push_back({peer.disk, peer.zone, peer.region, peer.incarnation,
                            !this->retiring.contains(name)});
-    std::sort(out.begin(), out.end(), [](const auto& left, const auto& right)
+    std::sort(out.begin(), out.end(),
+              [](const auto& left, const auto& right)
               { return left.disk < right.disk; });
     return out;
 }
@@ -192,9 +193,8 @@
     // The host that sorts first proposes; the others wait for its write.
     if (hosts.empty() || hosts.front().disk != this->jobs.disk_identity())
         return;
-    auto first =
-        model::first_placement(partition_count,
-                               this->runtime.settings().lost_disks + 1, hosts);
+    auto first = model::first_placement(
+        partition_count, this->runtime.settings().lost_disks + 1, hosts);
     if (first)
         this->commit(*first);
 }
@@ -226,9 +226,9 @@
         return owner->second->teach({});
     auto hosts = this->disk_hosts();
     const auto& learner = owner->second->learner();
-    bool learner_lives =
-        !learner.empty() && !this->silent(learner, replace_time) &&
-        !this->retires(learner);
+    bool learner_lives = !learner.empty() &&
+                         !this->silent(learner, replace_time) &&
+                         !this->retires(learner);
     if (!learner_lives)
     {
         const auto* host = model::choose_replacement(
--- a/source/batches/placement_agent.hpp
+++ b/source/batches/placement_agent.hpp
@@ -36,8 +36,7 @@
     std::shared_ptr<partition_owner> owner_of(std::string_view job) const;
 
     /// @brief All partitions that this host owns.
-    const std::map<std::size_t, std::shared_ptr<partition_owner>>&
-    owned() const
+    const std::map<std::size_t, std::shared_ptr<partition_owner>>& owned() const
     {
         return this->owners;
     }
--- a/source/batches/records.cpp
+++ b/source/batches/records.cpp
@@ -134,12 +134,9 @@
     packed_append out{from.job, from.place, from.previous_epoch, {}};
     for (const auto& each : from.records)
     {
-        packed_record one{static_cast<std::uint8_t>(each->kind),
-                          each->epoch,
-                          {},
-                          each->item,
-                          static_cast<std::uint8_t>(each->state),
-                          each->text};
+        packed_record one{
+            static_cast<std::uint8_t>(each->kind),  each->epoch, {}, each->item,
+            static_cast<std::uint8_t>(each->state), each->text};
         if (each->accepted)
             one.accepted.push_back(to_packed(*each->accepted));
         out.records.push_back(std::move(one));
@@ -235,7 +232,7 @@
 std::string pack(const append_call& from)
 {
     packed_append_call out{from.partition, from.epoch, from.owner_disk,
-                           from.copy_disk, {}, from.expired};
+                           from.copy_disk, {},         from.expired};
     for (const auto& each : from.jobs)
         out.jobs.push_back(to_packed(each));
     return to_bytes(out);
@@ -248,9 +245,8 @@
 
 std::string pack(const reconcile_call& from)
 {
-    return to_bytes(packed_reconcile_call{from.partition, from.epoch,
-                                          from.copy_disk,
-                                          to_packed(from.jobs)});
+    return to_bytes(packed_reconcile_call{
+        from.partition, from.epoch, from.copy_disk, to_packed(from.jobs)});
 }
 
 std::string pack(const reconcile_answer& from)
--- a/source/core/batches/job_log.cpp
+++ b/source/core/batches/job_log.cpp
@@ -14,9 +14,8 @@
 
 std::uint64_t job_log::epoch_before(std::uint64_t place) const
 {
-    return place == 0 || place > this->log.size()
-               ? 0
-               : this->log[place - 1]->epoch;
+    return place == 0 || place > this->log.size() ? 0
+                                                  : this->log[place - 1]->epoch;
 }
 
 append_result job_log::append(std::uint64_t place, std::uint64_t previous_epoch,
@@ -28,8 +27,8 @@
         return append_result::mismatch;
     for (const auto& one : added)
     {
-        bool same = place < this->log.size() &&
-                    this->log[place]->epoch == one->epoch;
+        bool same =
+            place < this->log.size() && this->log[place]->epoch == one->epoch;
         if (!same)
         {
             this->truncate(place);
--- a/source/core/batches/placement.cpp
+++ b/source/core/batches/placement.cpp
@@ -13,9 +13,9 @@
 const disk_host* find_host(const std::vector<disk_host>& hosts,
                            std::string_view disk)
 {
-    auto found = std::find_if(hosts.begin(), hosts.end(),
-                              [&](const auto& each)
-                              { return each.disk == disk; });
+    auto found =
+        std::find_if(hosts.begin(), hosts.end(),
+                     [&](const auto& each) { return each.disk == disk; });
     return found == hosts.end() ? nullptr : &*found;
 }
 
@@ -42,8 +42,7 @@
 
 std::size_t placement::partition_of(std::string_view job) const
 {
-    return this->partitions.empty() ? 0
-                                    : hash(job) % this->partitions.size();
+    return this->partitions.empty() ? 0 : hash(job) % this->partitions.size();
 }
 
 std::optional<placement> first_placement(std::size_t partitions,
--- a/source/core/endpoints/endpoint_table.cpp
+++ b/source/core/endpoints/endpoint_table.cpp
@@ -34,9 +34,9 @@
 
 } // namespace
 
-endpoint_table::endpoint_table(std::string own_zone,
-                               std::map<std::string, std::string> region_of_zone,
-                               const peers::peer_table& others)
+endpoint_table::endpoint_table(
+    std::string own_zone, std::map<std::string, std::string> region_of_zone,
+    const peers::peer_table& others)
     : own_zone(std::move(own_zone)), region_of_zone(std::move(region_of_zone)),
       others(others)
 {
@@ -53,10 +53,8 @@
         each.listed = true;
         each.info = std::move(info);
     }
-    std::erase_if(this->known,
-                  [](const auto& each) {
-                      return !each.second.listed && each.second.runs.empty();
-                  });
+    std::erase_if(this->known, [](const auto& each)
+                  { return !each.second.listed && each.second.runs.empty(); });
 }
 
 const endpoint* endpoint_table::find(std::string_view id) const
@@ -102,8 +100,7 @@
 {
     choice best;
     double best_cost = 0;
-    std::uint64_t salt =
-        static_cast<std::uint64_t>(uniform * 4294967296.0);
+    std::uint64_t salt = static_cast<std::uint64_t>(uniform * 4294967296.0);
     for (const auto& [id, each] : this->known)
     {
         if (!this->may_choose(each, service, now) ||
@@ -140,15 +137,13 @@
 {
     choice best;
     double best_cost = 0;
-    std::uint64_t salt =
-        static_cast<std::uint64_t>(uniform * 4294967296.0);
+    std::uint64_t salt = static_cast<std::uint64_t>(uniform * 4294967296.0);
     for (const auto& [id, each] : this->known)
     {
         if (!this->may_choose(each, service, now))
             continue;
         auto theirs = this->others.load(each.id_hash);
-        double all =
-            each.online + theirs.online + each.batch + theirs.batch;
+        double all = each.online + theirs.online + each.batch + theirs.batch;
         double slots = each.info.slots;
         if (all + reserve >= slots)
             continue;
@@ -236,10 +231,11 @@
 {
     auto found = this->mean_hold_ms.find(service);
     if (found == this->mean_hold_ms.end())
-        found = this->mean_hold_ms.emplace(std::string(service), initial_hold_ms)
-                    .first;
-    found->second += hold_weight *
-                     (static_cast<double>(held.count()) - found->second);
+        found =
+            this->mean_hold_ms.emplace(std::string(service), initial_hold_ms)
+                .first;
+    found->second +=
+        hold_weight * (static_cast<double>(held.count()) - found->second);
 }
 
 milliseconds endpoint_table::mean_hold(std::string_view service) const
@@ -273,9 +269,10 @@
 std::uint32_t endpoint_table::usable(std::string_view service,
                                      instant now) const
 {
-    return static_cast<std::uint32_t>(std::count_if(
-        this->known.begin(), this->known.end(), [&](const auto& each)
-        { return this->may_choose(each.second, service, now); }));
+    return static_cast<std::uint32_t>(
+        std::count_if(this->known.begin(), this->known.end(),
+                      [&](const auto& each)
+                      { return this->may_choose(each.second, service, now); }));
 }
 
 } // namespace amaranthhatch::core::endpoints
--- a/source/core/routes/route_table.cpp
+++ b/source/core/routes/route_table.cpp
@@ -14,8 +14,7 @@
         this->by_authority[this->all[at].authority].push_back(at);
     for (auto& [authority, places] : this->by_authority)
         std::stable_sort(places.begin(), places.end(),
-                         [this](std::size_t left, std::size_t right)
-                         {
+                         [this](std::size_t left, std::size_t right) {
                              return this->all[left].prefix.size() >
                                     this->all[right].prefix.size();
                          });
--- a/source/forward/online_router.cpp
+++ b/source/forward/online_router.cpp
@@ -27,8 +27,7 @@
 void online_router::apply(
     std::shared_ptr<const core::routes::route_table> table)
 {
-    bool newer =
-        !this->current || table->version() > this->current->version();
+    bool newer = !this->current || table->version() > this->current->version();
     if (!newer)
         return;
     this->current = std::move(table);
@@ -55,10 +54,9 @@
         .with("id", exchange.asked().headers.get(this->names.request_id))
         .with("status", status)
         .with("reason", reason)
-        .with("config",
-              this->current
-                  ? static_cast<std::int64_t>(this->current->version())
-                  : -1)
+        .with("config", this->current ? static_cast<std::int64_t>(
+                                            this->current->version())
+                                      : -1)
         .with("path", exchange.asked().path);
 }
 
--- a/source/forward/online_run.cpp
+++ b/source/forward/online_run.cpp
@@ -63,9 +63,8 @@
       arrived(host::boot_now()),
       body(std::make_shared<const std::string>(this->exchange->asked().body))
 {
-    auto patience = number_of(this->exchange->asked().headers.get(
-                                  names.deadline),
-                              matched.timeout);
+    auto patience = number_of(
+        this->exchange->asked().headers.get(names.deadline), matched.timeout);
     this->deadline = this->arrived + std::min(patience, matched.timeout);
 }
 
@@ -99,7 +98,8 @@
     auto allowed = std::chrono::duration_cast<core::milliseconds>(
         this->route.target_latency * queue_share);
     if (this->ran == 0 && best.chosen == nullptr)
-        return this->refuse("no_endpoint", this->runtime.settings().retry_after);
+        return this->refuse("no_endpoint",
+                            this->runtime.settings().retry_after);
     if (this->ran == 0 && best.expected_wait + (now - this->arrived) > allowed)
         return this->refuse("overload", best.expected_wait);
     if (best.chosen == nullptr)
@@ -117,12 +117,12 @@
     out.target = asked.target;
     for (const auto& line : asked.headers.all())
     {
-        bool ours = http::header_list::same_name(line.name, names.deadline) ||
-                    http::header_list::same_name(line.name,
-                                                 names.target_instance) ||
-                    http::header_list::same_name(line.name, "Expect") ||
-                    (!this->events.last_id().empty() &&
-                     http::header_list::same_name(line.name, "Last-Event-Id"));
+        bool ours =
+            http::header_list::same_name(line.name, names.deadline) ||
+            http::header_list::same_name(line.name, names.target_instance) ||
+            http::header_list::same_name(line.name, "Expect") ||
+            (!this->events.last_id().empty() &&
+             http::header_list::same_name(line.name, "Last-Event-Id"));
         if (!ours)
             out.headers.add(line.name, line.value);
     }
@@ -151,9 +151,9 @@
     this->run = this->runtime.endpoints().begin(
         chosen.id, core::endpoints::load_kind::online, now);
     this->runtime.load_changed();
-    this->call = this->runtime.http_client().start(
-        chosen.id, chosen.address, this->compose(chosen),
-        this->shared_from_this());
+    this->call = this->runtime.http_client().start(chosen.id, chosen.address,
+                                                   this->compose(chosen),
+                                                   this->shared_from_this());
 }
 
 bool online_run::on_head(int answered, const http::header_list& lines)
@@ -313,10 +313,10 @@
                                 this->runtime.settings().retry_after);
         return this->fail(504, "timeout");
     }
-    auto limit = this->begun ? this->route.target_gap
-                             : this->route.target_latency;
-    auto stall = std::chrono::duration_cast<core::milliseconds>(
-        limit * stall_share);
+    auto limit =
+        this->begun ? this->route.target_gap : this->route.target_latency;
+    auto stall =
+        std::chrono::duration_cast<core::milliseconds>(limit * stall_share);
     bool stalled = this->phase == state::running && this->route.resumable &&
                    now - this->last_event > stall &&
                    this->ran + 1 < this->route.max_attempts;
--- a/source/host/host_runtime.cpp
+++ b/source/host/host_runtime.cpp
@@ -78,9 +78,15 @@
         this->copies.push_back(std::make_unique<store::mirror>(
             this->loop, this->store, std::move(options)));
     };
-    add({this->layout.configuration_prefix, store::mirror_mode::watch,
-         watch_wait, {}, {}});
-    add({this->layout.own_prefix, store::mirror_mode::watch, watch_wait, {},
+    add({this->layout.configuration_prefix,
+         store::mirror_mode::watch,
+         watch_wait,
+         {},
+         {}});
+    add({this->layout.own_prefix,
+         store::mirror_mode::watch,
+         watch_wait,
+         {},
          {}});
     add({this->layout.endpoint_prefix, store::mirror_mode::poll,
          endpoint_interval(this->own), lapse_grace,
@@ -278,15 +284,13 @@
                 part != static_cast<std::size_t>(copied_part::endpoints);
             if (!newer || (!watched && !copy.failing()))
                 continue;
-            if (newest == nullptr ||
-                theirs.as_of > newest->copies[part].as_of)
+            if (newest == nullptr || theirs.as_of > newest->copies[part].as_of)
                 newest = &peer;
         }
         if (newest != nullptr)
             this->pull(part, newest->name, newest->address);
     }
-    bool knows_nothing =
-        this->copy(copied_part::configuration).as_of() == 0;
+    bool knows_nothing = this->copy(copied_part::configuration).as_of() == 0;
     if (knows_nothing && this->copies[0]->failing())
         this->pull_from_seeds();
 }
@@ -304,8 +308,8 @@
         [this, part, key](const http::whole_answer& answer)
         {
             this->pulling[part] = false;
-            bool whole = answer.how == http::call_end::complete &&
-                         answer.status == 200;
+            bool whole =
+                answer.how == http::call_end::complete && answer.status == 200;
             if (!whole)
                 return;
             auto listing = peers::unpack_listing(answer.body);
@@ -347,15 +351,15 @@
 
 void host_runtime::register_host()
 {
-    this->store.grant(
-        registration_ttl,
-        [this](const store::lease_result& got)
-        {
-            if (got.result == store::outcome::done)
-                return this->write_registration(got.lease);
-            this->schedule_registration(registration_retry,
-                                        [this] { this->register_host(); });
-        });
+    this->store.grant(registration_ttl,
+                      [this](const store::lease_result& got)
+                      {
+                          if (got.result == store::outcome::done)
+                              return this->write_registration(got.lease);
+                          this->schedule_registration(
+                              registration_retry,
+                              [this] { this->register_host(); });
+                      });
 }
 
 void host_runtime::write_registration(std::uint64_t granted)
@@ -367,35 +371,34 @@
     self.disk = this->disk;
     self.incarnation = this->start_number;
     store::change wanted;
-    wanted.writes.push_back({this->layout.own_prefix + "hosts/" +
-                                 this->own.name,
-                             pack_registration(self), granted});
-    this->store.commit(
-        wanted,
-        [this, granted](const store::change_result& got)
-        {
-            if (got.result != store::outcome::done)
-                return this->schedule_registration(
-                    registration_retry, [this] { this->register_host(); });
-            this->lease = granted;
-            this->schedule_registration(renew_interval,
-                                        [this] { this->renew(); });
-        });
+    wanted.writes.push_back(
+        {this->layout.own_prefix + "hosts/" + this->own.name,
+         pack_registration(self), granted});
+    this->store.commit(wanted,
+                       [this, granted](const store::change_result& got)
+                       {
+                           if (got.result != store::outcome::done)
+                               return this->schedule_registration(
+                                   registration_retry,
+                                   [this] { this->register_host(); });
+                           this->lease = granted;
+                           this->schedule_registration(renew_interval, [this]
+                                                       { this->renew(); });
+                       });
 }
 
 void host_runtime::renew()
 {
-    this->store.renew(
-        this->lease,
-        [this](const store::lease_result& got)
-        {
-            if (got.result == store::outcome::missing)
-                return this->register_host();
-            bool done = got.result == store::outcome::done;
-            this->schedule_registration(done ? renew_interval
-                                             : registration_retry,
-                                        [this] { this->renew(); });
-        });
+    this->store.renew(this->lease,
+                      [this](const store::lease_result& got)
+                      {
+                          if (got.result == store::outcome::missing)
+                              return this->register_host();
+                          bool done = got.result == store::outcome::done;
+                          this->schedule_registration(
+                              done ? renew_interval : registration_retry,
+                              [this] { this->renew(); });
+                      });
 }
 
 } // namespace amaranthhatch::host
--- a/source/http/async_client.cpp
+++ b/source/http/async_client.cpp
@@ -181,8 +181,8 @@
     catch (const errors::failure& error)
     {
         std::string detail = error.what();
-        asio::post(this->owner->loop, [self, detail]
-                   { self->end(call_end::not_sent, detail); });
+        asio::post(this->owner->loop,
+                   [self, detail] { self->end(call_end::not_sent, detail); });
         return;
     }
     this->timer.expires_after(asked.connect_limit);
@@ -236,17 +236,16 @@
 void async_client::connection::read_some()
 {
     auto self = this->shared_from_this();
-    this->socket.async_read_some(
-        this->buffer.prepare(read_block_bytes),
-        [self](error_code error, std::size_t count)
-        {
-            if (self->closed || !self->listener)
-                return self->close();
-            if (error)
-                return self->on_read_error(error);
-            self->buffer.commit(count);
-            self->consume();
-        });
+    this->socket.async_read_some(this->buffer.prepare(read_block_bytes),
+                                 [self](error_code error, std::size_t count)
+                                 {
+                                     if (self->closed || !self->listener)
+                                         return self->close();
+                                     if (error)
+                                         return self->on_read_error(error);
+                                     self->buffer.commit(count);
+                                     self->consume();
+                                 });
 }
 
 void async_client::connection::consume()
--- a/source/http/async_client.hpp
+++ b/source/http/async_client.hpp
@@ -83,9 +83,10 @@
     async_client(const async_client&) = delete;
     async_client& operator=(const async_client&) = delete;
 
-    std::shared_ptr<client_call>
-    start(std::string_view key, const std::string& address,
-          const client_request& asked, std::shared_ptr<call_listener> listener);
+    std::shared_ptr<client_call> start(std::string_view key,
+                                       const std::string& address,
+                                       const client_request& asked,
+                                       std::shared_ptr<call_listener> listener);
 
     /// @brief Closes the kept connections of a peer that is gone.
     void forget(std::string_view key);
--- a/source/http/async_server.cpp
+++ b/source/http/async_server.cpp
@@ -84,6 +84,10 @@
     void begin(int status, const header_list& headers) override;
     void write(std::string_view piece) override;
     void finish() override;
+    std::size_t unsent_bytes() const override
+    {
+        return this->unsent.size() + this->sending.size();
+    }
     void abort() override;
     void on_gone(std::function<void()> gone) override;
 
@@ -158,8 +162,8 @@
     if (error)
     {
         bool syntax =
-            error.category() == make_error_code(beast::http::error::bad_method)
-                                    .category() &&
+            error.category() ==
+                make_error_code(beast::http::error::bad_method).category() &&
             error != beast::http::error::partial_message;
         return syntax ? this->refuse(400, "not an HTTP/1.1 request")
                       : this->close();
@@ -416,8 +420,7 @@
 
 async_server::async_server(asio::io_context& loop, const std::string& address,
                            limit_source limits, handler handle)
-    : held(
-          std::make_shared<state>(loop, std::move(limits), std::move(handle)))
+    : held(std::make_shared<state>(loop, std::move(limits), std::move(handle)))
 {
     auto endpoint = parse_endpoint(address);
     error_code error;
--- a/source/http/async_server.hpp
+++ b/source/http/async_server.hpp
@@ -46,6 +46,9 @@
     /// @brief Marks the body as whole.
     virtual void finish() = 0;
 
+    /// @brief Bytes of the answer that the caller has not taken yet.
+    virtual std::size_t unsent_bytes() const = 0;
+
     /// @brief Closes the connection, so that no answer looks whole.
     virtual void abort() = 0;
 
--- a/source/http/client.cpp
+++ b/source/http/client.cpp
@@ -2,17 +2,52 @@
 
 #include <utility>
 
-#include <curl/curl.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "http/async_client.hpp"
 
 namespace amaranthhatch::http
 {
 
-struct stream::state
+struct stream::state : call_listener
 {
-    CURLM* multi = nullptr;
-    CURL* easy = nullptr;
-    curl_slist* headers = nullptr;
-    std::string body_sent;
+    state() : client(loop), timer(loop) {}
+
+    bool on_head(int status, const header_list& headers) override
+    {
+        this->outcome.status = status;
+        this->outcome.headers = headers;
+        return true;
+    }
+
+    void on_body(std::string_view piece) override
+    {
+        this->arrived += piece;
+        this->loop.stop();
+    }
+
+    void on_end(call_end how, std::string_view detail) override
+    {
+        constexpr progress reached[] = {progress::answered, progress::not_sent,
+                                        progress::unknown};
+        this->ended = true;
+        this->outcome.reached = reached[static_cast<std::size_t>(how)];
+        this->outcome.detail = detail;
+        this->timer.cancel();
+        this->loop.stop();
+    }
+
+    void on_limit()
+    {
+        this->call->cancel();
+        this->on_end(call_end::broken, "the call's time is over");
+    }
+
+    boost::asio::io_context loop{1};
+    async_client client;
+    boost::asio::steady_timer timer;
+    std::shared_ptr<client_call> call;
     std::string arrived;
     reply outcome;
     bool ended = false;
@@ -21,123 +56,70 @@
 namespace
 {
 
-struct curl_process
+struct target
 {
-    curl_process() { curl_global_init(CURL_GLOBAL_DEFAULT); }
-    ~curl_process() { curl_global_cleanup(); }
+    std::string address;
+    std::string path;
 };
 
-void ensure_initialized()
+target parse_url(std::string_view url)
 {
-    static curl_process once;
-}
-
-std::size_t on_body(char* data, std::size_t size, std::size_t count,
-                    void* target)
-{
-    static_cast<std::string*>(target)->append(data, size * count);
-    return size * count;
-}
-
-std::size_t on_header(char* data, std::size_t size, std::size_t count,
-                      void* target)
-{
-    std::string_view line(data, size * count);
-    auto colon = line.find(':');
-    if (colon != line.npos)
-    {
-        auto value = line.substr(colon + 1);
-        while (!value.empty() && value.front() == ' ')
-            value.remove_prefix(1);
-        while (!value.empty() && (value.back() == '\r' || value.back() == '\n'))
-            value.remove_suffix(1);
-        static_cast<header_list*>(target)->add(line.substr(0, colon), value);
-    }
-    return size * count;
-}
-
-progress reached(CURL* easy, CURLcode code)
-{
-    if (code == CURLE_OK)
-        return progress::answered;
-    // The connect time stays zero until TCP's handshake has ended; before it
-    // no byte of the request can have left.
-    curl_off_t connected = 0;
-    curl_easy_getinfo(easy, CURLINFO_CONNECT_TIME_T, &connected);
-    return connected == 0 ? progress::not_sent : progress::unknown;
+    constexpr std::string_view scheme = "http://";
+    if (url.starts_with(scheme))
+        url.remove_prefix(scheme.size());
+    auto slash = url.find('/');
+    if (slash == url.npos)
+        return {std::string(url), "/"};
+    return {std::string(url.substr(0, slash)), std::string(url.substr(slash))};
 }
 
 } // namespace
 
-stream::stream(const call& asked) : held(std::make_unique<state>())
+stream::stream(const call& asked) : held(std::make_shared<state>())
 {
-    ensure_initialized();
     auto& self = *this->held;
-    self.body_sent = asked.body;
-    self.multi = curl_multi_init();
-    self.easy = curl_easy_init();
-    for (const auto& line : asked.headers.all())
-        self.headers = curl_slist_append(
-            self.headers, (line.name + ": " + line.value).c_str());
-    self.headers = curl_slist_append(self.headers, "Expect:");
-    curl_easy_setopt(self.easy, CURLOPT_URL, asked.url.c_str());
-    curl_easy_setopt(self.easy, CURLOPT_CUSTOMREQUEST, asked.method.c_str());
-    curl_easy_setopt(self.easy, CURLOPT_HTTPHEADER, self.headers);
-    curl_easy_setopt(self.easy, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(self.easy, CURLOPT_NOPROXY, "*");
-    curl_easy_setopt(self.easy, CURLOPT_FRESH_CONNECT, 1L);
-    curl_easy_setopt(self.easy, CURLOPT_FORBID_REUSE, 1L);
-    curl_easy_setopt(self.easy, CURLOPT_TCP_NODELAY, 1L);
-    curl_easy_setopt(self.easy, CURLOPT_CONNECTTIMEOUT_MS,
-                     static_cast<long>(asked.connect_limit.count()));
-    curl_easy_setopt(self.easy, CURLOPT_TIMEOUT_MS,
-                     static_cast<long>(asked.total_limit.count()));
-    curl_easy_setopt(self.easy, CURLOPT_WRITEFUNCTION, on_body);
-    curl_easy_setopt(self.easy, CURLOPT_WRITEDATA, &self.arrived);
-    curl_easy_setopt(self.easy, CURLOPT_HEADERFUNCTION, on_header);
-    curl_easy_setopt(self.easy, CURLOPT_HEADERDATA, &self.outcome.headers);
-    if (!asked.body.empty() || asked.method == "POST" || asked.method == "PUT")
-    {
-        curl_easy_setopt(self.easy, CURLOPT_POSTFIELDSIZE,
-                         static_cast<long>(self.body_sent.size()));
-        curl_easy_setopt(self.easy, CURLOPT_POSTFIELDS, self.body_sent.data());
-    }
-    curl_multi_add_handle(self.multi, self.easy);
+    auto to = parse_url(asked.url);
+    client_request sent;
+    sent.method = asked.method;
+    sent.target = to.path;
+    sent.headers = asked.headers;
+    sent.headers.add("Host", to.address);
+    sent.headers.add("Connection", "close");
+    sent.connect_limit = asked.connect_limit;
+    if (!asked.body.empty())
+        sent.body = std::make_shared<const std::string>(asked.body);
+    self.timer.expires_after(asked.total_limit);
+    self.timer.async_wait(
+        [weak = std::weak_ptr(this->held)](boost::system::error_code error)
+        {
+            auto running = weak.lock();
+            if (!error && running && !running->ended)
+                running->on_limit();
+        });
+    // The listener is the state itself, which outlives the loop.
+    std::shared_ptr<call_listener> listener(std::shared_ptr<void>(), &self);
+    self.call = self.client.start("", to.address, sent, listener);
 }
 
 stream::~stream()
 {
-    curl_multi_remove_handle(this->held->multi, this->held->easy);
-    curl_easy_cleanup(this->held->easy);
-    curl_multi_cleanup(this->held->multi);
-    curl_slist_free_all(this->held->headers);
+    if (!this->held->ended)
+        this->held->call->cancel();
+    this->held->timer.cancel();
+    this->held->loop.restart();
+    this->held->loop.poll();
 }
 
 void stream::pump(std::chrono::milliseconds wait)
 {
     auto& self = *this->held;
-    if (self.ended)
+    if (self.ended || !self.arrived.empty())
         return;
-    int running = 0;
-    curl_multi_perform(self.multi, &running);
-    if (running > 0 && self.arrived.empty() && wait.count() > 0)
-    {
-        curl_multi_poll(self.multi, nullptr, 0, static_cast<int>(wait.count()),
-                        nullptr);
-        curl_multi_perform(self.multi, &running);
-    }
-    long status = 0;
-    curl_easy_getinfo(self.easy, CURLINFO_RESPONSE_CODE, &status);
-    self.outcome.status = static_cast<int>(status);
-    int left = 0;
-    while (CURLMsg* message = curl_multi_info_read(self.multi, &left))
-    {
-        if (message->msg != CURLMSG_DONE)
-            continue;
-        self.ended = true;
-        self.outcome.reached = reached(self.easy, message->data.result);
-        self.outcome.detail = curl_easy_strerror(message->data.result);
-    }
+    self.loop.restart();
+    if (wait.count() > 0)
+        self.loop.run_for(wait);
+    else
+        self.loop.poll();
 }
 
 std::string stream::take()
--- a/source/http/client.hpp
+++ b/source/http/client.hpp
@@ -23,9 +23,8 @@
 
 /// @brief A call to make: always on a connection of its own.
 ///
-/// Connections are not reused, since libcurl repeats a request by itself when
-/// a reused connection turns out to be closed, and since a kept connection may
-/// have gone silent for good.
+/// Connections are not reused, since a kept connection may have gone silent
+/// for good.
 struct call
 {
     std::string method = "GET";
@@ -69,7 +68,7 @@
 
 private:
     struct state;
-    std::unique_ptr<state> held;
+    std::shared_ptr<state> held;
 };
 
 } // namespace amaranthhatch::http
--- a/source/http/message_text.cpp
+++ b/source/http/message_text.cpp
@@ -32,9 +32,9 @@
                              phrase{504, "Gateway Timeout"}};
 
 constexpr std::array<std::string_view, 9> connection_headers{
-    "connection", "keep-alive",        "proxy-connection",
-    "te",         "trailer",           "transfer-encoding",
-    "upgrade",    "content-length",    "proxy-authorization"};
+    "connection", "keep-alive",     "proxy-connection",
+    "te",         "trailer",        "transfer-encoding",
+    "upgrade",    "content-length", "proxy-authorization"};
 
 void append_headers(std::string& text, const header_list& headers)
 {
--- a/source/http/server.cpp
+++ b/source/http/server.cpp
@@ -1,16 +1,14 @@
 #include "http/server.hpp"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <unistd.h>
-
 #include <atomic>
-#include <cstring>
+#include <future>
 #include <thread>
 
-#include <microhttpd.h>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 
-#include "errors/failure.hpp"
+#include "http/async_server.hpp"
 
 namespace amaranthhatch::http
 {
@@ -18,233 +16,150 @@
 namespace
 {
 
-constexpr std::size_t stream_block_bytes = 16u << 10;
-
-struct exchange
-{
-    request asked;
-    bool too_large = false;
-    std::atomic<int>* in_flight = nullptr;
-};
-
-struct stream_state
-{
-    std::unique_ptr<body_source> source;
-    std::string chunk;
-    std::size_t taken = 0;
-};
-
-sockaddr_in parse_address(const std::string& address)
-{
-    auto colon = address.rfind(':');
-    sockaddr_in parsed{};
-    parsed.sin_family = AF_INET;
-    parsed.sin_port =
-        htons(static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))));
-    inet_pton(AF_INET, address.substr(0, colon).c_str(), &parsed.sin_addr);
-    return parsed;
-}
-
-MHD_Result add_header(void* target, MHD_ValueKind, const char* name,
-                      const char* value)
-{
-    auto* headers = static_cast<header_list*>(target);
-    headers->add(name, value == nullptr ? "" : value);
-    return MHD_YES;
-}
-
-MHD_Result add_query(void* target, MHD_ValueKind, const char* name,
-                     const char* value)
-{
-    auto* query = static_cast<std::string*>(target);
-    if (!query->empty())
-        *query += '&';
-    *query += name;
-    *query += '=';
-    *query += value == nullptr ? "" : value;
-    return MHD_YES;
-}
-
-ssize_t read_stream(void* target, std::uint64_t, char* buffer, std::size_t size)
-{
-    auto* stream = static_cast<stream_state*>(target);
-    while (stream->taken == stream->chunk.size())
-    {
-        stream->chunk.clear();
-        stream->taken = 0;
-        auto got = stream->source->read(stream->chunk);
-        if (got == body_source::state::end)
-            return MHD_CONTENT_READER_END_OF_STREAM;
-        if (got == body_source::state::failed)
-            return MHD_CONTENT_READER_END_WITH_ERROR;
-    }
-    std::size_t count = std::min(size, stream->chunk.size() - stream->taken);
-    std::memcpy(buffer, stream->chunk.data() + stream->taken, count);
-    stream->taken += count;
-    return static_cast<ssize_t>(count);
-}
-
-void free_stream(void* target)
-{
-    delete static_cast<stream_state*>(target);
-}
-
-MHD_Response* library_response(response& answer)
-{
-    if (answer.stream)
-    {
-        auto* stream = new stream_state;
-        stream->source = std::move(answer.stream);
-        return MHD_create_response_from_callback(
-            MHD_SIZE_UNKNOWN, stream_block_bytes, read_stream, stream,
-            free_stream);
-    }
-    return MHD_create_response_from_buffer(
-        answer.body.size(), answer.body.data(), MHD_RESPMEM_MUST_COPY);
-}
-
-MHD_Result send(MHD_Connection* connection, response answer, bool closing)
-{
-    MHD_Response* out = library_response(answer);
-    if (out == nullptr)
-        return MHD_NO;
-    for (const auto& line : answer.headers.all())
-        MHD_add_response_header(out, line.name.c_str(), line.value.c_str());
-    if (closing)
-        MHD_add_response_header(out, "Connection", "close");
-    auto sent = MHD_queue_response(connection,
-                                   static_cast<unsigned>(answer.status), out);
-    MHD_destroy_response(out);
-    return sent;
-}
-
-void completed(void*, MHD_Connection*, void** context,
-               MHD_RequestTerminationCode)
-{
-    auto* running = static_cast<exchange*>(*context);
-    if (running == nullptr)
-        return;
-    running->in_flight->fetch_sub(1);
-    delete running;
-    *context = nullptr;
-}
-
-response too_large_response()
-{
-    response answer;
-    answer.status = 413;
-    answer.headers.add("Content-Type", "application/json");
-    answer.body = R"({"error":{"message":"The body is over this server's )"
-                  R"(limit; send less at once.","type":"invalid_request_)"
-                  R"(error","code":"body_too_large","outcome":"not_run"}})";
-    return answer;
-}
+// A streamed body waits while its caller has this much left to read.
+constexpr std::size_t unsent_limit_bytes = 1u << 20;
+constexpr std::chrono::milliseconds unsent_poll{5};
+constexpr std::chrono::milliseconds idle_limit{60000};
 
 } // namespace
 
-struct server::state
+/// @brief An event loop on a thread of its own, and a thread for each request
+/// whose handler may block.
+struct server::state : std::enable_shared_from_this<server::state>
 {
     server_options options;
     handler handle;
-    MHD_Daemon* daemon = nullptr;
+    boost::asio::io_context loop{1};
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+        guard{loop.get_executor()};
+    std::unique_ptr<async_server> listener;
     std::atomic<int> in_flight{0};
-    std::atomic<bool> closing{false};
-
-    MHD_Result begin(MHD_Connection* connection, const char* url,
-                     const char* method, void** context);
-    MHD_Result take(exchange& running, const char* upload,
-                    std::size_t& upload_size) const;
-    MHD_Result answer(MHD_Connection* connection, exchange& running);
+    std::atomic<int> handlers{0};
+    std::thread thread;
+
+    void take(const std::shared_ptr<server_exchange>& exchange);
+    void answer(const std::shared_ptr<server_exchange>& exchange,
+                const request& asked);
+    void send_stream(const std::shared_ptr<server_exchange>& exchange,
+                     response& answer, const std::atomic<bool>& gone);
+    void post(std::function<void()> work)
+    {
+        boost::asio::post(this->loop, std::move(work));
+    }
 };
 
-MHD_Result server::state::begin(MHD_Connection* connection, const char* url,
-                                const char* method, void** context)
-{
-    auto* started = new exchange;
-    started->asked.method = method;
-    started->asked.path = url;
-    started->in_flight = &this->in_flight;
-    this->in_flight.fetch_add(1);
-    MHD_get_connection_values(connection, MHD_HEADER_KIND, add_header,
-                              &started->asked.headers);
-    MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, add_query,
-                              &started->asked.query);
-    *context = started;
-    return MHD_YES;
-}
-
-MHD_Result server::state::take(exchange& running, const char* upload,
-                               std::size_t& upload_size) const
-{
-    std::size_t total = running.asked.body.size() + upload_size;
-    running.too_large =
-        running.too_large || total > this->options.body_limit_bytes;
-    if (!running.too_large)
-        running.asked.body.append(upload, upload_size);
-    upload_size = 0;
-    return MHD_YES;
+void server::state::take(const std::shared_ptr<server_exchange>& exchange)
+{
+    this->in_flight++;
+    this->handlers++;
+    std::thread(
+        [self = this->shared_from_this(), exchange, asked = exchange->asked()]
+        {
+            self->answer(exchange, asked);
+            self->handlers--;
+        })
+        .detach();
+}
+
+void server::state::answer(const std::shared_ptr<server_exchange>& exchange,
+                           const request& asked)
+{
+    auto gone = std::make_shared<std::atomic<bool>>(false);
+    this->post([exchange, gone]
+               { exchange->on_gone([gone] { gone->store(true); }); });
+    response made = this->handle(asked);
+    if (made.stream)
+        this->send_stream(exchange, made, *gone);
+    else
+    {
+        auto whole = std::make_shared<response>(std::move(made));
+        this->post(
+            [exchange, whole]
+            { exchange->respond(whole->status, whole->headers, whole->body); });
+    }
+    this->post([self = this->shared_from_this()] { self->in_flight--; });
 }
 
-MHD_Result server::state::answer(MHD_Connection* connection, exchange& running)
+void server::state::send_stream(
+    const std::shared_ptr<server_exchange>& exchange, response& answer,
+    const std::atomic<bool>& gone)
 {
-    if (running.too_large)
-        return send(connection, too_large_response(), true);
-    return send(connection, this->handle(running.asked), this->closing.load());
+    this->post([exchange, status = answer.status, headers = answer.headers]
+               { exchange->begin(status, headers); });
+    auto state = body_source::state::data;
+    while (state == body_source::state::data && !gone)
+    {
+        std::string chunk;
+        state = answer.stream->read(chunk);
+        if (chunk.empty())
+            continue;
+        auto left = std::make_shared<std::promise<std::size_t>>();
+        auto unsent = left->get_future();
+        this->post(
+            [exchange, left, chunk = std::move(chunk)]
+            {
+                exchange->write(chunk);
+                left->set_value(exchange->unsent_bytes());
+            });
+        while (unsent.get() > unsent_limit_bytes && !gone)
+        {
+            std::this_thread::sleep_for(unsent_poll);
+            auto again = std::make_shared<std::promise<std::size_t>>();
+            unsent = again->get_future();
+            this->post([exchange, again]
+                       { again->set_value(exchange->unsent_bytes()); });
+        }
+    }
+    bool whole = state == body_source::state::end;
+    this->post([exchange, whole]
+               { whole ? exchange->finish() : exchange->abort(); });
 }
 
 server::server(server_options options, handler handle)
-    : held(std::make_unique<state>())
+    : held(std::make_shared<state>())
 {
-    this->held->options = std::move(options);
-    this->held->handle = std::move(handle);
-    sockaddr_in address = parse_address(this->held->options.address);
-    // The library calls back once for a request's head, once for each block of
-    // its body, and once more when the body has been read.
-    auto callback = [](void* target, MHD_Connection* connection,
-                       const char* url, const char* method, const char*,
-                       const char* upload, std::size_t* upload_size,
-                       void** context) -> MHD_Result
+    auto& self = *this->held;
+    self.options = std::move(options);
+    self.handle = std::move(handle);
+    auto limits = [body = self.options.body_limit_bytes]
     {
-        auto* self = static_cast<state*>(target);
-        if (*context == nullptr)
-            return self->begin(connection, url, method, context);
-        auto& running = *static_cast<exchange*>(*context);
-        if (*upload_size > 0)
-            return self->take(running, upload, *upload_size);
-        return self->answer(connection, running);
+        server_limits out;
+        out.body_bytes = body;
+        out.idle_time = idle_limit;
+        out.header_time = idle_limit;
+        return out;
     };
-    unsigned flags = MHD_USE_INTERNAL_POLLING_THREAD |
-                     MHD_USE_THREAD_PER_CONNECTION | MHD_USE_POLL | MHD_USE_ITC;
-    this->held->daemon = MHD_start_daemon(
-        flags, 0, nullptr, nullptr, callback, this->held.get(),
-        MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_CONNECTION_LIMIT,
-        this->held->options.connection_limit,
-        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_LISTEN_BACKLOG_SIZE,
-        1024u, MHD_OPTION_THREAD_STACK_SIZE, std::size_t{256u << 10},
-        MHD_OPTION_NOTIFY_COMPLETED, completed, nullptr, MHD_OPTION_END);
-    if (this->held->daemon == nullptr)
-        throw errors::failure("listen", this->held->options.address,
-                              "the address can't be used; choose a free one");
+    self.listener = std::make_unique<async_server>(
+        self.loop, self.options.address, limits,
+        [state = this->held.get()](std::shared_ptr<server_exchange> exchange)
+        { state->take(exchange); });
+    self.thread =
+        std::thread([state = this->held.get()] { state->loop.run(); });
 }
 
 server::~server()
 {
+    // Handlers end by their own time limits; their answers go nowhere then.
+    constexpr std::chrono::milliseconds poll{5};
     this->stop_listening();
-    MHD_stop_daemon(this->held->daemon);
+    while (this->held->handlers > 0)
+        std::this_thread::sleep_for(poll);
+    this->held->post([state = this->held.get()] { state->listener.reset(); });
+    this->held->guard.reset();
+    this->held->post([state = this->held.get()] { state->loop.stop(); });
+    this->held->thread.join();
 }
 
 void server::stop_listening()
 {
-    // Connections still in the backlog are accepted by the kernel already;
-    // the library serves those it took before this call.
-    int socket = MHD_quiesce_daemon(this->held->daemon);
-    if (socket >= 0)
-        close(socket);
+    this->held->post([state = this->held.get()]
+                     { state->listener->stop_listening(); });
 }
 
 void server::close_after_answers()
 {
-    this->held->closing = true;
+    this->held->post([state = this->held.get()]
+                     { state->listener->close_after_answers(); });
 }
 
 int server::in_flight() const
--- a/source/http/server.hpp
+++ b/source/http/server.hpp
@@ -18,7 +18,7 @@
     unsigned connection_limit = 2048;
 };
 
-/// @brief An HTTP server that runs each connection on a thread of its own.
+/// @brief An HTTP server that runs each request on a thread of its own.
 ///
 /// Handlers may block. A body over the limit is answered with 413 before the
 /// handler hears of the request.
@@ -45,7 +45,7 @@
 
 private:
     struct state;
-    std::unique_ptr<state> held;
+    std::shared_ptr<state> held;
 };
 
 } // namespace amaranthhatch::http
--- a/source/logging/console_sink.cpp
+++ b/source/logging/console_sink.cpp
@@ -42,7 +42,8 @@
     root->addAppender(appender);
     root->setLevel(log4cxx::Level::getInfo());
     install(
-        [](level grave, std::string_view, std::string_view line) {
+        [](level grave, std::string_view, std::string_view line)
+        {
             log4cxx::Logger::getRootLogger()->log(library_level(grave),
                                                   std::string(line));
         });
--- a/source/metrics/recorder.cpp
+++ b/source/metrics/recorder.cpp
@@ -32,10 +32,9 @@
                                  const std::string& cached);
 };
 
-prometheus::Counter&
-recorder::state::counter(std::string_view family,
-                         const prometheus::Labels& labels,
-                         const std::string& cached)
+prometheus::Counter& recorder::state::counter(std::string_view family,
+                                              const prometheus::Labels& labels,
+                                              const std::string& cached)
 {
     auto found = this->counters.find(cached);
     if (found == this->counters.end())
--- a/source/peers/beacon_socket.cpp
+++ b/source/peers/beacon_socket.cpp
@@ -67,8 +67,7 @@
             if (!error)
             {
                 auto beacon = unpack_beacon({this->buffer.data(), count});
-                if (beacon &&
-                    this->peers.hear(*beacon, host::boot_now()))
+                if (beacon && this->peers.hear(*beacon, host::boot_now()))
                     this->heard(*beacon);
             }
             this->receive();
--- a/source/store/mirror.cpp
+++ b/source/store/mirror.cpp
@@ -52,10 +52,9 @@
     this->calling = true;
     // Hosts end their waiting calls at different times.
     auto wait = this->options.interval * (0.6 + 0.4 * host::uniform());
-    this->source.watch(
-        this->options.prefix, this->as_of_revision,
-        std::chrono::duration_cast<core::milliseconds>(wait),
-        [this](const listing& got) { this->on_watch(got); });
+    this->source.watch(this->options.prefix, this->as_of_revision,
+                       std::chrono::duration_cast<core::milliseconds>(wait),
+                       [this](const listing& got) { this->on_watch(got); });
 }
 
 void mirror::on_listing(const listing& got)
@@ -200,8 +199,8 @@
             .with("prefix", this->options.prefix);
     }
     this->failures++;
-    auto pause = std::min(first_retry * (1 << std::min(this->failures, 5)),
-                          last_retry);
+    auto pause =
+        std::min(first_retry * (1 << std::min(this->failures, 5)), last_retry);
     auto spread = 0.5 + host::uniform();
     this->schedule(std::chrono::duration_cast<core::milliseconds>(
         std::chrono::duration<double, std::milli>(
