batches: Replay ownership from seeds and stop owners that saw a later epoch

Ruled out: the copies' refusal of stale epochs, which held. Change: an owner serves only while no later epoch was seen on its disk; counts of other copies are forgotten when a longer log is adopted; what a copy has stored is counted in core/batches/replication_state, which the replay shares.

--- a/source/batches/partition_owner.cpp
+++ b/source/batches/partition_owner.cpp
@@ -38,7 +38,8 @@
                                  model::partition_place place,
                                  commit_callback committed)
     : runtime(runtime), jobs(jobs), partition(partition),
-      place(std::move(place)), on_commit(std::move(committed))
+      place(std::move(place)), on_commit(std::move(committed)),
+      replication(jobs.disk_identity(), this->place.copies)
 {
 }
 
@@ -74,31 +75,14 @@
 
 std::uint64_t partition_owner::committed(std::string_view job) const
 {
-    auto found = this->committed_counts.find(job);
-    return found == this->committed_counts.end() ? 0 : found->second;
-}
-
-std::uint64_t partition_owner::stored_everywhere(std::string_view job) const
-{
-    auto count = this->jobs.synced(job);
-    for (const auto& disk : this->place.copies)
-    {
-        if (disk == this->jobs.disk_identity())
-            continue;
-        auto copy = this->copies.find(disk);
-        if (copy == this->copies.end())
-            return 0;
-        auto stored = copy->second.stored.find(job);
-        if (stored == copy->second.stored.end())
-            return 0;
-        count = std::min(count, stored->second);
-    }
-    return count;
+    return this->replication.committed(job);
 }
 
 void partition_owner::add(const std::string& job,
                           std::vector<model::record_ptr> records)
 {
+    if (!this->serving())
+        return;
     auto self = this->shared_from_this();
     this->jobs.add(job, std::move(records),
                    [self, job]
@@ -124,12 +108,10 @@
 void partition_owner::expire(const std::string& job)
 {
     this->jobs.forget(job);
-    this->committed_counts.erase(job);
-    this->unsettled.erase(job);
+    this->replication.forget_job(job);
     for (auto& [disk, copy] : this->copies)
     {
         copy.behind.erase(job);
-        copy.stored.erase(job);
         copy.expired.insert(job);
     }
 }
@@ -157,6 +139,7 @@
 void partition_owner::set_copies(std::vector<std::string> listed)
 {
     this->place.copies = std::move(listed);
+    this->replication.set_copies(this->place.copies);
     if (this->place.holds(this->learning_disk))
         this->learning_disk.clear();
     std::erase_if(this->copies,
@@ -203,6 +186,8 @@
 {
     if (this->stopped)
         return;
+    if (this->jobs.epoch(this->partition) > this->place.epoch)
+        return this->stop();
     auto now = host::boot_now();
     std::vector<std::string> disks;
     for (const auto& [disk, copy] : this->copies)
@@ -260,6 +245,9 @@
     if (!this->accepts && this->place.holds(disk))
         for (const auto& each : answer.further)
         {
+            // What other copies have was counted against the log before.
+            for (const auto& other : this->place.copies)
+                this->replication.note_stored(other, each.job, 0);
             auto self = this->shared_from_this();
             this->jobs.take(each,
                             [self, job = each.job]
@@ -268,7 +256,7 @@
                                     self->check_committed(job);
                             });
         }
-    copy.stored.clear();
+    this->replication.forget_disk(disk);
     for (const auto& each : answer.state.jobs)
     {
         const auto* log = this->jobs.find(each.job);
@@ -277,12 +265,12 @@
             copy.expired.insert(each.job);
             continue;
         }
-        bool prefix = each.mark.count <= log->records().size() &&
-                      log->epoch_before(each.mark.count) == each.mark.epoch;
-        copy.stored[each.job] = prefix ? each.mark.count : 0;
+        this->replication.note_stored(disk, each.job,
+                                      model::common_prefix(*log, each.mark));
     }
     for (const auto& id : this->jobs.jobs_of(this->partition))
-        if (copy.stored[id] < this->jobs.find(id)->records().size())
+        if (this->replication.stored(disk, id) <
+            this->jobs.find(id)->records().size())
             copy.behind.insert(id);
     this->check_all_committed();
     this->tick();
@@ -305,17 +293,20 @@
 void partition_owner::begin_serving()
 {
     this->accepts = true;
-    for (const auto& id : this->jobs.jobs_of(this->partition))
-        this->unsettled[id] = this->jobs.find(id)->records().size();
+    auto known = this->jobs.jobs_of(this->partition);
+    for (const auto& id : known)
+    {
+        auto count = this->jobs.find(id)->records().size();
+        this->replication.require(id, count);
+        for (auto& [disk, copy] : this->copies)
+            if (this->replication.stored(disk, id) < count)
+                copy.behind.insert(id);
+    }
     logging::event(logging::level::info, "partition_served")
         .with("partition", static_cast<std::int64_t>(this->partition))
         .with("epoch", static_cast<std::int64_t>(this->place.epoch))
-        .with("jobs", static_cast<std::int64_t>(this->unsettled.size()))
+        .with("jobs", static_cast<std::int64_t>(known.size()))
         .with("after_ms", (host::boot_now() - this->started).count());
-    for (const auto& [id, count] : this->unsettled)
-        for (auto& [disk, copy] : this->copies)
-            if (copy.stored[id] < count)
-                copy.behind.insert(id);
     this->check_all_committed();
     this->tick();
 }
@@ -358,7 +349,7 @@
     {
         if (this->jobs.find(id) == nullptr)
             continue;
-        auto next = this->next_append(id, copy.stored[id]);
+        auto next = this->next_append(id, this->replication.stored(disk, id));
         for (const auto& one : next.records)
             bytes += record_bytes(*one);
         out.jobs.push_back(std::move(next));
@@ -414,11 +405,9 @@
             copy.behind.erase(each.job);
             continue;
         }
-        bool prefix = !each.mismatch &&
-                      each.mark.count <= log->records().size() &&
-                      log->epoch_before(each.mark.count) == each.mark.epoch;
-        copy.stored[each.job] = prefix ? each.mark.count : 0;
-        if (copy.stored[each.job] >= log->records().size())
+        auto count = each.mismatch ? 0 : model::common_prefix(*log, each.mark);
+        this->replication.note_stored(disk, each.job, count);
+        if (count >= log->records().size())
             copy.behind.erase(each.job);
         this->check_committed(each.job);
     }
@@ -429,15 +418,10 @@
 {
     if (!this->accepts || this->stopped)
         return;
-    auto count = this->stored_everywhere(job);
-    auto waiting = this->unsettled.find(job);
-    if (waiting != this->unsettled.end() && count >= waiting->second)
-        this->unsettled.erase(waiting);
-    auto& known = this->committed_counts[job];
-    if (count <= known)
-        return;
-    known = count;
-    this->on_commit(job);
+    this->replication.note_stored(this->jobs.disk_identity(), job,
+                                  this->jobs.synced(job));
+    if (this->replication.advance(job))
+        this->on_commit(job);
 }
 
 void partition_owner::check_all_committed()
--- a/source/batches/partition_owner.hpp
+++ b/source/batches/partition_owner.hpp
@@ -10,6 +10,7 @@
 
 #include "batches/job_store.hpp"
 #include "core/batches/placement.hpp"
+#include "core/batches/replication_state.hpp"
 #include "host/host_runtime.hpp"
 
 namespace amaranthhatch::batches
@@ -37,12 +38,20 @@
 
     std::uint64_t epoch() const { return this->place.epoch; }
 
-    /// @brief True once records may be added.
-    bool serving() const { return this->accepts; }
+    /// @brief True while records may be added: not before the copies have
+    /// been asked, and not after another owner's epoch was seen here.
+    bool serving() const
+    {
+        return this->accepts &&
+               this->jobs.epoch(this->partition) == this->place.epoch;
+    }
 
     /// @brief True once everything that an earlier owner can have shown is
     /// committed again.
-    bool recovered() const { return this->accepts && this->unsettled.empty(); }
+    bool recovered() const
+    {
+        return this->serving() && this->replication.recovered();
+    }
 
     /// @brief True while no other host can have taken the partition over.
     bool holds_lease() const;
@@ -85,7 +94,6 @@
         copy_phase phase = copy_phase::unknown;
         bool sending = false;
         core::instant retry_at{};
-        std::map<std::string, std::uint64_t, std::less<>> stored;
         std::set<std::string> behind;
         std::set<std::string> expired;
     };
@@ -98,7 +106,6 @@
               core::milliseconds limit,
               std::function<void(std::optional<std::string>)> done);
     void begin_serving();
-    std::uint64_t stored_everywhere(std::string_view job) const;
     bool all_copies_heard() const;
     void check_committed(const std::string& job);
     void check_all_committed();
@@ -111,9 +118,7 @@
     core::batches::partition_place place;
     commit_callback on_commit;
     std::map<std::string, copy_state, std::less<>> copies;
-    std::map<std::string, std::uint64_t, std::less<>> committed_counts;
-    /// Jobs with records of earlier epochs that aren't committed in this one.
-    std::map<std::string, std::uint64_t, std::less<>> unsettled;
+    core::batches::replication_state replication;
     std::string learning_disk;
     core::instant started{};
     bool accepts = false;
--- /dev/null
+++ b/source/core/batches/replication_state.cpp
@@ -0,0 +1,94 @@
+#include "core/batches/replication_state.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace amaranthhatch::core::batches
+{
+
+replication_state::replication_state(std::string own_disk,
+                                     std::vector<std::string> copies)
+    : own_disk(std::move(own_disk)), disks(std::move(copies))
+{
+}
+
+void replication_state::set_copies(std::vector<std::string> listed)
+{
+    this->disks = std::move(listed);
+}
+
+void replication_state::note_stored(std::string_view disk, std::string_view job,
+                                    std::uint64_t count)
+{
+    auto known = this->stored_counts.find(disk);
+    if (known == this->stored_counts.end())
+        known = this->stored_counts.emplace(std::string(disk), counts()).first;
+    known->second[std::string(job)] = count;
+}
+
+std::uint64_t replication_state::stored(std::string_view disk,
+                                        std::string_view job) const
+{
+    auto known = this->stored_counts.find(disk);
+    if (known == this->stored_counts.end())
+        return 0;
+    auto count = known->second.find(job);
+    return count == known->second.end() ? 0 : count->second;
+}
+
+void replication_state::forget_disk(std::string_view disk)
+{
+    auto known = this->stored_counts.find(disk);
+    if (known != this->stored_counts.end())
+        this->stored_counts.erase(known);
+}
+
+void replication_state::forget_job(std::string_view job)
+{
+    for (auto& [disk, known] : this->stored_counts)
+        if (auto at = known.find(job); at != known.end())
+            known.erase(at);
+    if (auto at = this->committed_counts.find(job);
+        at != this->committed_counts.end())
+        this->committed_counts.erase(at);
+    if (auto at = this->required.find(job); at != this->required.end())
+        this->required.erase(at);
+}
+
+bool replication_state::advance(const std::string& job)
+{
+    auto count = std::numeric_limits<std::uint64_t>::max();
+    for (const auto& disk : this->disks)
+        count = std::min(count, this->stored(disk, job));
+    if (this->disks.empty())
+        return false;
+    auto waiting = this->required.find(job);
+    if (waiting != this->required.end() && count >= waiting->second)
+        this->required.erase(waiting);
+    auto& known = this->committed_counts[job];
+    if (count <= known)
+        return false;
+    known = count;
+    return true;
+}
+
+std::uint64_t replication_state::committed(std::string_view job) const
+{
+    auto found = this->committed_counts.find(job);
+    return found == this->committed_counts.end() ? 0 : found->second;
+}
+
+void replication_state::require(const std::string& job, std::uint64_t count)
+{
+    if (count > this->committed(job))
+        this->required[job] = count;
+}
+
+std::uint64_t common_prefix(const job_log& own, log_mark theirs)
+{
+    bool prefix = theirs.count <= own.records().size() &&
+                  own.epoch_before(theirs.count) == theirs.epoch;
+    return prefix ? theirs.count : 0;
+}
+
+} // namespace amaranthhatch::core::batches
--- /dev/null
+++ b/tests/core/endpoints_test.cpp
@@ -0,0 +1,200 @@
+#include <catch2/catch.hpp>
+
+#include "core/endpoints/endpoint_table.hpp"
+#include "core/hash.hpp"
+
+using namespace amaranthhatch;
+using namespace std::chrono_literals;
+using core::instant;
+using core::endpoints::load_kind;
+using core::endpoints::verdict;
+
+namespace
+{
+
+core::endpoints::endpoint make(std::string id, std::string zone,
+                               std::uint32_t slots = 2)
+{
+    return {std::move(id),   "pool", "127.0.0.1:1",
+            std::move(zone), slots,  false};
+}
+
+struct three_endpoints
+{
+    three_endpoints()
+        : peers("self", 1, {1000ms, 1000ms, 10000ms}),
+          table("near", {{"near", "r1"}, {"next", "r1"}, {"far", "r2"}}, peers)
+    {
+        this->table.replace({make("near-1", "near"), make("next-1", "next"),
+                             make("far-1", "far")});
+    }
+
+    std::string online(const std::vector<std::string>& excluded = {})
+    {
+        auto found =
+            this->table.choose_online("pool", excluded, this->now, 0.3);
+        return found.chosen == nullptr ? "none" : found.chosen->id;
+    }
+
+    std::string batch(std::uint32_t reserve = 0)
+    {
+        auto found = this->table.choose_batch("pool", reserve, this->now, 0.3);
+        return found.chosen == nullptr ? "none" : found.chosen->id;
+    }
+
+    void fill(const std::string& id, load_kind kind, int count = 2)
+    {
+        for (int at = 0; at < count; at++)
+        {
+            auto run = this->table.begin(id, kind, this->now);
+            this->table.progress(run, this->now);
+            this->runs.push_back(run);
+        }
+    }
+
+    void hear_load(const std::string& id, std::uint32_t online,
+                   std::uint32_t batch)
+    {
+        core::peers::beacon from;
+        from.name = "other";
+        from.incarnation = 7;
+        from.sent_ms = ++this->sent;
+        from.loads = {{core::hash(id), online, batch}};
+        this->peers.hear(from, this->now);
+    }
+
+    core::peers::peer_table peers;
+    core::endpoints::endpoint_table table;
+    instant now{10000};
+    std::int64_t sent = 0;
+    std::vector<core::endpoints::run_key> runs;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(three_endpoints, "choice, free slots, takes the nearest")
+{
+    CHECK(this->online() == "near-1");
+    CHECK(this->online({"near-1"}) == "next-1");
+    CHECK(this->online({"near-1", "next-1"}) == "far-1");
+    CHECK(this->online({"near-1", "next-1", "far-1"}) == "none");
+}
+
+TEST_CASE_METHOD(three_endpoints, "choice, near one full, takes a free one")
+{
+    this->fill("near-1", load_kind::online);
+    CHECK(this->online() == "next-1");
+}
+
+TEST_CASE_METHOD(three_endpoints,
+                 "choice, batch work everywhere, displaces it nearby")
+{
+    for (const auto* id : {"near-1", "next-1", "far-1"})
+        this->fill(id, load_kind::batch);
+    auto found = this->table.choose_online("pool", {}, this->now, 0.3);
+    REQUIRE(found.chosen != nullptr);
+    CHECK(found.chosen->id == "near-1");
+    CHECK(found.displaces);
+    CHECK(found.expected_wait == 0ms);
+}
+
+TEST_CASE_METHOD(three_endpoints, "choice, all full of online work, tells wait")
+{
+    for (const auto* id : {"near-1", "next-1", "far-1"})
+        this->fill(id, load_kind::online);
+    auto found = this->table.choose_online("pool", {}, this->now, 0.3);
+    REQUIRE(found.chosen != nullptr);
+    CHECK_FALSE(found.displaces);
+    CHECK(found.expected_wait == this->table.mean_hold("pool") / 2);
+}
+
+TEST_CASE_METHOD(three_endpoints, "choice, other hosts' load, counts")
+{
+    this->hear_load("near-1", 2, 0);
+    CHECK(this->online() == "next-1");
+    CHECK(this->batch() != "near-1");
+    this->hear_load("near-1", 0, 0);
+    CHECK(this->online() == "near-1");
+}
+
+TEST_CASE_METHOD(three_endpoints, "choice, silent host's load, expires")
+{
+    this->hear_load("near-1", 2, 0);
+    this->now += 1100ms;
+    this->peers.refresh_loads(this->now);
+    CHECK(this->online() == "near-1");
+}
+
+TEST_CASE_METHOD(three_endpoints, "choice, draining or dropped, is left out")
+{
+    auto leaving = make("near-1", "near");
+    leaving.draining = true;
+    this->table.replace({leaving, make("far-1", "far")});
+    CHECK(this->online() == "far-1");
+    CHECK(this->batch() == "far-1");
+}
+
+TEST_CASE_METHOD(three_endpoints, "health, unreachable, is left out for a time")
+{
+    auto run = this->table.begin("near-1", load_kind::online, this->now);
+    this->table.end(run, verdict::unreachable, this->now);
+    CHECK(this->online() == "next-1");
+    this->now += 250ms;
+    CHECK(this->online() == "near-1");
+}
+
+TEST_CASE_METHOD(three_endpoints, "health, one broken answer, is forgiven once")
+{
+    for (int broken = 0; broken < 2; broken++)
+    {
+        CHECK(this->online() == "near-1");
+        auto run = this->table.begin("near-1", load_kind::online, this->now);
+        this->table.end(run, verdict::broken, this->now);
+    }
+    CHECK(this->online() == "next-1");
+}
+
+TEST_CASE_METHOD(three_endpoints, "health, running but silent, is left out")
+{
+    this->fill("near-1", load_kind::online, 1);
+    this->now += 260ms;
+    CHECK(this->online() == "next-1");
+    this->table.progress(this->runs[0], this->now);
+    CHECK(this->online() == "near-1");
+}
+
+TEST_CASE_METHOD(three_endpoints, "health, replaced instance, is left out long")
+{
+    auto run = this->table.begin("near-1", load_kind::online, this->now);
+    this->table.end(run, verdict::replaced, this->now);
+    this->now += 3000ms;
+    CHECK(this->online() == "next-1");
+}
+
+TEST_CASE_METHOD(three_endpoints, "batch choice, reserve, keeps slots free")
+{
+    this->fill("near-1", load_kind::online, 1);
+    this->fill("next-1", load_kind::online, 1);
+    this->fill("far-1", load_kind::online, 1);
+    CHECK(this->batch(1) == "none");
+    CHECK(this->batch(0) != "none");
+}
+
+TEST_CASE_METHOD(three_endpoints, "excess, online over batch, says how many")
+{
+    this->fill("near-1", load_kind::batch);
+    CHECK(this->table.excess("near-1") == 0);
+    this->hear_load("near-1", 1, 0);
+    CHECK(this->table.excess("near-1") == 1);
+    this->table.end(this->runs[0], verdict::cancelled, this->now);
+    CHECK(this->table.excess("near-1") == 0);
+}
+
+TEST_CASE_METHOD(three_endpoints, "dropped endpoint, last run ends, is gone")
+{
+    this->fill("near-1", load_kind::online, 1);
+    this->table.replace({make("far-1", "far")});
+    CHECK(this->table.find("near-1") != nullptr);
+    this->table.end(this->runs[0], verdict::answered, this->now);
+    CHECK(this->table.find("near-1") == nullptr);
+}
--- /dev/null
+++ b/tests/core/ownership_schedule.hpp
@@ -0,0 +1,111 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "core/batches/job_log.hpp"
+#include "core/batches/placement.hpp"
+#include "core/batches/replication_state.hpp"
+
+namespace amaranthhatch::tests
+{
+
+/// @brief Which rule of ownership a replay breaks, to show that the check
+/// notices.
+enum class ownership_fault
+{
+    none,
+    /// A copy takes appends of any epoch.
+    accept_stale_epoch,
+    /// Records count before all copies have synced them.
+    commit_alone,
+    /// An owner goes on after it has seen a later epoch.
+    serve_after_later_epoch,
+    /// A lost copy leaves the placement before another one has all.
+    drop_copy_early
+};
+
+/// @brief Replays one partition's owners, copies, crashes, power losses,
+/// wiped disks, pauses and takeovers with late and lost calls, from a seed.
+///
+/// As many disks as the deployment promises to bear are lost at once.
+class ownership_schedule
+{
+public:
+    ownership_schedule(std::uint64_t seed, ownership_fault fault,
+                       std::size_t lost_disks = 1);
+
+    /// @brief Runs the schedule; says what went wrong, or nothing.
+    std::string run();
+
+    std::size_t committed() const { return this->shown.size(); }
+
+private:
+    struct owner_state
+    {
+        core::batches::partition_place place;
+        core::batches::replication_state replication;
+        bool serving = false;
+        std::string learner;
+    };
+
+    struct host
+    {
+        std::string disk;
+        std::uint64_t incarnation = 1;
+        bool alive = true;
+        std::uint64_t epoch = 0;
+        core::batches::job_log log{"job"};
+        std::uint64_t synced = 0;
+        std::optional<owner_state> owner;
+    };
+
+    struct append_message
+    {
+        std::uint64_t due = 0;
+        std::string from;
+        std::uint64_t incarnation = 0;
+        std::string to_disk;
+        std::uint64_t epoch = 0;
+        std::uint64_t place = 0;
+        std::uint64_t previous_epoch = 0;
+        std::vector<core::batches::record_ptr> records;
+    };
+
+    std::uint64_t pick(std::uint64_t below);
+    host* by_disk(const std::string& disk);
+    bool swap(const core::batches::partition_place& next);
+    void become_owner(host& by);
+    void reconcile(host& by);
+    void produce(host& by);
+    void send(host& by, const std::string& disk);
+    void deliver(const append_message& message);
+    void note_commits(host& by);
+    void sync_disk(host& on);
+    void restart(host& which, bool power_loss, bool wiped);
+    void consider_takeover();
+    void consider_replacement(host& by);
+    void check_final();
+    bool may_lose_disks() const;
+    std::string pick_host();
+
+    std::mt19937_64 random;
+    ownership_fault fault;
+    std::size_t lost_disks;
+    std::uint64_t now = 0;
+    std::map<std::string, host> hosts;
+    core::batches::partition_place stored;
+    std::vector<append_message> in_flight;
+    /// Every record that any owner has shown as committed, by place.
+    std::vector<core::batches::record_ptr> shown;
+    std::uint64_t wiped_until = 0;
+    std::uint32_t next_item = 0;
+    std::uint64_t next_disk = 10;
+    std::string wrong;
+};
+
+} // namespace amaranthhatch::tests
--- /dev/null
+++ b/tests/core/peers_test.cpp
@@ -0,0 +1,113 @@
+#include <catch2/catch.hpp>
+
+#include "core/hash.hpp"
+#include "core/peers/peer_table.hpp"
+
+using namespace amaranthhatch;
+using namespace std::chrono_literals;
+using core::instant;
+using core::peers::beacon;
+
+namespace
+{
+
+struct heard_hosts
+{
+    heard_hosts() : peers("self", 5, {1000ms, 1000ms, 10000ms}) {}
+
+    beacon from(std::string name, std::int64_t sent,
+                std::uint64_t incarnation = 1) const
+    {
+        beacon out;
+        out.name = std::move(name);
+        out.incarnation = incarnation;
+        out.sent_ms = sent;
+        out.address = "127.0.0.1:1";
+        out.disk = "disk-" + out.name;
+        return out;
+    }
+
+    core::peers::peer_table peers;
+    instant now{50000};
+};
+
+} // namespace
+
+TEST_CASE_METHOD(heard_hosts, "beacons, late ones, are dropped")
+{
+    CHECK(this->peers.hear(this->from("a", 10), this->now));
+    CHECK_FALSE(this->peers.hear(this->from("a", 9), this->now));
+    CHECK(this->peers.hear(this->from("a", 1, 2), this->now));
+    CHECK_FALSE(this->peers.hear(this->from("self", 1), this->now));
+}
+
+TEST_CASE_METHOD(heard_hosts, "disk, its host silent, has no live host")
+{
+    this->peers.hear(this->from("a", 10), this->now);
+    CHECK(this->peers.find_disk("disk-a", this->now) != nullptr);
+    CHECK(this->peers.find_disk("disk-a", this->now + 1001ms) == nullptr);
+    CHECK(this->peers.find_disk("", this->now) == nullptr);
+}
+
+TEST_CASE_METHOD(heard_hosts, "echoes, of another start, grant no lease")
+{
+    auto sent = this->from("a", 10);
+    sent.echoes = {{core::hash("self"), 4, 49000}};
+    this->peers.hear(sent, this->now);
+    CHECK(this->peers.find("a")->echoed == 0ms);
+    sent.sent_ms = 11;
+    sent.echoes = {{core::hash("self"), 5, 49500}};
+    this->peers.hear(sent, this->now);
+    CHECK(this->peers.find("a")->echoed == 49500ms);
+    sent.sent_ms = 12;
+    sent.echoes = {{core::hash("self"), 5, 49100}};
+    this->peers.hear(sent, this->now);
+    CHECK(this->peers.find("a")->echoed == 49500ms);
+}
+
+TEST_CASE_METHOD(heard_hosts, "loads, beacons of two hosts, add up and vanish")
+{
+    auto first = this->from("a", 1);
+    first.loads = {{42, 3, 1}};
+    auto second = this->from("b", 1);
+    second.loads = {{42, 2, 2}};
+    this->peers.hear(first, this->now);
+    this->peers.hear(second, this->now);
+    CHECK(this->peers.load(42).online == 5);
+    CHECK(this->peers.load(42).batch == 3);
+    second.sent_ms = 2;
+    second.loads = {};
+    this->peers.hear(second, this->now + 900ms);
+    CHECK(this->peers.load(42).online == 3);
+    this->peers.refresh_loads(this->now + 1500ms);
+    CHECK(this->peers.load(42).online == 0);
+}
+
+TEST_CASE_METHOD(heard_hosts, "registration, gone and silent, is forgotten")
+{
+    core::peers::peer listed;
+    listed.name = "a";
+    listed.address = "127.0.0.1:2";
+    this->peers.register_all({listed});
+    this->peers.expire(this->now);
+    REQUIRE(this->peers.find("a") != nullptr);
+    this->peers.hear(this->from("a", 1), this->now);
+    // A lapsed registration alone says nothing of a host that is heard.
+    this->peers.register_all({});
+    this->peers.expire(this->now + 5000ms);
+    CHECK(this->peers.find("a") != nullptr);
+    this->peers.expire(this->now + 10001ms);
+    CHECK(this->peers.find("a") == nullptr);
+}
+
+TEST_CASE_METHOD(heard_hosts, "backlogs, live hosts, add up by route")
+{
+    auto first = this->from("a", 1);
+    first.backlogs = {{7, 100}, {8, 5}};
+    auto second = this->from("b", 1);
+    second.backlogs = {{7, 50}};
+    this->peers.hear(first, this->now);
+    this->peers.hear(second, this->now + 900ms);
+    CHECK(this->peers.backlog_tokens(7, this->now + 950ms) == 150);
+    CHECK(this->peers.backlog_tokens(7, this->now + 1200ms) == 50);
+}
