--- a/source/batches/batch_client.cpp
+++ b/source/batches/batch_client.cpp
@@ -2,7 +2,6 @@
 
 #include <boost/asio/steady_timer.hpp>
 
-#include "host/boot_clock.hpp"
 #include "http/whole_call.hpp"
 #include "logging/event.hpp"
 
@@ -27,6 +26,7 @@
     http::client_request http;
     core::milliseconds limit{};
     answer_callback done;
+    std::string owner_disk;
     int tries = 0;
 };
 
@@ -47,13 +47,19 @@
         return nullptr;
     const auto& place =
         this->placement->partitions[this->placement->partition_of(job)];
-    return this->runtime.peers().find_disk(place.owner_disk, host::boot_now());
+    return this->runtime.peers().locate_disk(place.owner_disk);
 }
 
 void batch_client::retry(std::shared_ptr<request> asked, job_outcome otherwise)
 {
     if (asked->tries >= try_limit)
+    {
+        logging::event(logging::level::warning, "job_owner_unreached")
+            .with("job", asked->job)
+            .with("placement", static_cast<std::int64_t>(this->revision))
+            .with("owner", asked->owner_disk);
         return asked->done(otherwise, {});
+    }
     auto timer = std::make_shared<boost::asio::steady_timer>(
         this->runtime.event_loop(), retry_pause);
     timer->async_wait([this, asked = std::move(asked), timer](
@@ -64,6 +70,7 @@
 {
     asked->tries++;
     const auto* owner = this->owner_of(asked->job);
+    asked->owner_disk = owner == nullptr ? "" : owner->disk;
     if (owner == nullptr)
         return this->retry(std::move(asked), job_outcome::unavailable);
     auto key = owner->name + "/" + std::to_string(owner->incarnation);
--- a/source/core/peers/beacon.hpp
+++ b/source/core/peers/beacon.hpp
@@ -43,7 +43,11 @@
     std::uint64_t tokens = 0;
 };
 
-/// @brief What each host sends the others many times a second.
+/// @brief What hosts send each other many times a second.
+///
+/// A host's own beacon goes to its zone, and between hosts with a disk. One
+/// host of each zone also sends the sum of its zone's loads to the other zones,
+/// so that messages between zones don't grow with the hosts in them.
 struct beacon
 {
     std::string name;
@@ -57,6 +61,8 @@
     /// Identifies the disk of a host that keeps jobs; empty otherwise.
     std::string disk;
     bool leaving = false;
+    /// True where the loads are those of the sender's whole zone.
+    bool zone_summary = false;
     std::vector<echo> echoes;
     std::vector<endpoint_load> loads;
     std::vector<copy_revision> copies;
--- a/source/core/peers/peer_table.cpp
+++ b/source/core/peers/peer_table.cpp
@@ -7,10 +7,11 @@
 namespace amaranthhatch::core::peers
 {
 
-peer_table::peer_table(std::string own_name, std::uint64_t own_incarnation,
-                       limits bounds)
-    : own_name(std::move(own_name)), own_hash(hash(this->own_name)),
-      own_incarnation(own_incarnation), bounds(bounds)
+peer_table::peer_table(std::string own_name, std::string own_zone,
+                       std::uint64_t own_incarnation, limits bounds)
+    : own_name(std::move(own_name)), own_zone(std::move(own_zone)),
+      own_hash(hash(this->own_name)), own_incarnation(own_incarnation),
+      bounds(bounds)
 {
 }
 
@@ -27,14 +28,8 @@
     }
 }
 
-bool peer_table::hear(const beacon& from, instant now)
+void peer_table::note_host(peer& known, const beacon& from, instant now)
 {
-    if (from.name == this->own_name)
-        return false;
-    auto& known = this->peers[from.name];
-    bool same_start = known.incarnation == from.incarnation;
-    if (same_start && from.sent_ms < known.sent_ms)
-        return false;
     known.name = from.name;
     known.address = from.address;
     known.zone = from.zone;
@@ -42,13 +37,32 @@
     known.disk = from.disk;
     known.incarnation = from.incarnation;
     known.heard = now;
-    known.sent_ms = from.sent_ms;
+    known.sent_ms = std::max(known.sent_ms, from.sent_ms);
     known.leaving = from.leaving;
     known.copies = from.copies;
+}
+
+bool peer_table::hear(const beacon& from, instant now)
+{
+    if (from.name == this->own_name)
+        return false;
+    if (from.zone_summary)
+        return this->hear_summary(from, now);
+    auto& known = this->peers[from.name];
+    bool same_start = known.incarnation == from.incarnation;
+    if (same_start && from.sent_ms < known.sent_ms)
+        return false;
+    if (!same_start)
+        known.sent_ms = 0;
+    this->note_host(known, from, now);
     known.backlogs = from.backlogs;
-    this->add_loads(known.loads, -1);
-    known.loads = from.loads;
-    this->add_loads(known.loads, 1);
+    // The loads of another zone's hosts come with that zone's summary.
+    if (from.zone == this->own_zone)
+    {
+        this->add_loads(known.loads, -1);
+        known.loads = from.loads;
+        this->add_loads(known.loads, 1);
+    }
     for (const auto& echoed : from.echoes)
         if (echoed.peer == this->own_hash &&
             echoed.incarnation == this->own_incarnation)
@@ -56,6 +70,99 @@
     return true;
 }
 
+bool peer_table::hear_summary(const beacon& from, instant now)
+{
+    if (from.zone == this->own_zone)
+        return false;
+    auto& summary = this->summaries[from.zone];
+    bool same_start = summary.lead == from.name &&
+                      summary.incarnation == from.incarnation;
+    // A summary that was passed on comes more than once.
+    if (same_start && from.sent_ms <= summary.sent_ms)
+        return false;
+    this->note_host(this->peers[from.name], from, now);
+    summary.incarnation = from.incarnation;
+    summary.sent_ms = from.sent_ms;
+    this->add_loads(summary.loads, -1);
+    summary.lead = from.name;
+    summary.heard = now;
+    summary.loads = from.loads;
+    this->add_loads(summary.loads, 1);
+    return true;
+}
+
+bool peer_table::leads_zone(instant now) const
+{
+    return std::none_of(this->peers.begin(), this->peers.end(),
+                        [&](const auto& each)
+                        {
+                            return each.second.zone == this->own_zone &&
+                                   each.first < this->own_name &&
+                                   !each.second.leaving &&
+                                   this->alive(each.second, now);
+                        });
+}
+
+std::size_t peer_table::zone_size(instant now) const
+{
+    auto others = std::count_if(this->peers.begin(), this->peers.end(),
+                                [&](const auto& each)
+                                {
+                                    return each.second.zone == this->own_zone &&
+                                           this->alive(each.second, now);
+                                });
+    return static_cast<std::size_t>(others) + 1;
+}
+
+std::vector<const peer*> peer_table::other_zone_leads(instant now) const
+{
+    // Until a zone's summary is heard, its first two registered hosts are
+    // told, one of which may be down.
+    constexpr std::size_t guesses = 2;
+    std::map<std::string, std::vector<const peer*>, std::less<>> zones;
+    for (const auto& [name, known] : this->peers)
+        if (known.zone != this->own_zone && !known.address.empty())
+            zones[known.zone].push_back(&known);
+    std::vector<const peer*> out;
+    for (auto& [zone, hosts] : zones)
+    {
+        auto summary = this->summaries.find(zone);
+        const peer* lead = summary == this->summaries.end()
+                               ? nullptr
+                               : this->find(summary->second.lead);
+        bool current = lead != nullptr && !lead->leaving &&
+                       now - summary->second.heard <= this->bounds.silence;
+        if (current)
+            out.push_back(lead);
+        else
+            out.insert(out.end(), hosts.begin(),
+                       hosts.begin() + static_cast<std::ptrdiff_t>(
+                                           std::min(guesses, hosts.size())));
+    }
+    return out;
+}
+
+std::vector<endpoint_load> peer_table::zone_loads() const
+{
+    std::map<std::uint64_t, endpoint_load> sum;
+    for (const auto& [name, known] : this->peers)
+    {
+        if (known.zone != this->own_zone)
+            continue;
+        for (const auto& load : known.loads)
+        {
+            auto& at = sum[load.endpoint];
+            at.endpoint = load.endpoint;
+            at.online += load.online;
+            at.batch += load.batch;
+        }
+    }
+    std::vector<endpoint_load> out;
+    for (const auto& [endpoint, load] : sum)
+        out.push_back(load);
+    return out;
+}
+
 void peer_table::register_all(const std::vector<peer>& listed)
 {
     for (auto& [name, known] : this->peers)
@@ -68,13 +175,15 @@
         known.registered = true;
         bool heard = known.heard > instant::zero();
         known.name = each.name;
+        // What a host says itself is newer than what it registered.
         if (heard && known.incarnation == each.incarnation)
             continue;
         known.address = each.address;
         known.zone = each.zone;
         known.region = each.region;
-        if (!heard)
-            known.disk = each.disk;
+        known.disk = each.disk;
+        known.incarnation = each.incarnation;
+        known.sent_ms = 0;
     }
 }
 
@@ -94,6 +203,14 @@
 
 void peer_table::refresh_loads(instant now)
 {
+    for (auto& [zone, summary] : this->summaries)
+    {
+        bool old = now - summary.heard > this->bounds.load_expiry;
+        if (!old || summary.loads.empty())
+            continue;
+        this->add_loads(summary.loads, -1);
+        summary.loads.clear();
+    }
     for (auto& [name, known] : this->peers)
     {
         bool old = now - known.heard > this->bounds.load_expiry;
@@ -120,6 +237,16 @@
     return nullptr;
 }
 
+const peer* peer_table::locate_disk(std::string_view disk) const
+{
+    const peer* best = nullptr;
+    for (const auto& [name, known] : this->peers)
+        if (!disk.empty() && known.disk == disk &&
+            (best == nullptr || known.heard > best->heard))
+            best = &known;
+    return best;
+}
+
 bool peer_table::alive(const peer& other, instant now) const
 {
     return other.heard > instant::zero() &&
--- a/source/core/peers/peer_table.hpp
+++ b/source/core/peers/peer_table.hpp
@@ -49,8 +49,8 @@
         milliseconds forget;
     };
 
-    peer_table(std::string own_name, std::uint64_t own_incarnation,
-               limits bounds);
+    peer_table(std::string own_name, std::string own_zone,
+               std::uint64_t own_incarnation, limits bounds);
 
     /// @brief Takes in a beacon; false where it is older than a known one.
     bool hear(const beacon& from, instant now);
@@ -66,6 +66,9 @@
     /// @brief The live host that has a disk, or null.
     const peer* find_disk(std::string_view disk, instant now) const;
 
+    /// @brief The host that last had a disk, alive or not, or null.
+    const peer* locate_disk(std::string_view disk) const;
+
     bool alive(const peer& other, instant now) const;
 
     /// @brief All known hosts, by name.
@@ -77,6 +80,19 @@
     /// @brief Echoes of live hosts with a disk, for the next beacon.
     std::vector<echo> disk_echoes(instant now) const;
 
+    /// @brief True where this host speaks for its zone: of the live hosts
+    /// there, its name sorts first.
+    bool leads_zone(instant now) const;
+
+    /// @brief Live hosts of this zone, this one included.
+    std::size_t zone_size(instant now) const;
+
+    /// @brief The hosts that speak, or may speak, for the other zones.
+    std::vector<const peer*> other_zone_leads(instant now) const;
+
+    /// @brief The loads of this zone's other hosts, by endpoint.
+    std::vector<endpoint_load> zone_loads() const;
+
     /// @brief Sum of what other live hosts run at an endpoint.
     endpoint_load load(std::uint64_t endpoint) const;
 
@@ -87,14 +103,28 @@
     void refresh_loads(instant now);
 
 private:
+    struct zone_summary
+    {
+        std::string lead;
+        std::uint64_t incarnation = 0;
+        std::int64_t sent_ms = 0;
+        instant heard{};
+        std::vector<endpoint_load> loads;
+    };
+
+    bool hear_summary(const beacon& from, instant now);
+    void note_host(peer& known, const beacon& from, instant now);
     void add_loads(const std::vector<endpoint_load>& loads, int sign);
 
     std::string own_name;
+    std::string own_zone;
     std::uint64_t own_hash;
     std::uint64_t own_incarnation;
     limits bounds;
     std::map<std::string, peer, std::less<>> peers;
-    /// Sums over peers, kept so that a choice needs no walk over hosts.
+    std::map<std::string, zone_summary, std::less<>> summaries;
+    /// Sums over peers and zones, kept so that a choice needs no walk over
+    /// hosts.
     std::map<std::uint64_t, endpoint_load> sums;
 };
 
--- a/source/host/host_runtime.cpp
+++ b/source/host/host_runtime.cpp
@@ -20,7 +20,7 @@
 
 // A watch waits this long; keys below it change seldom, and keep-alive probes
 // find a silent connection in between.
-constexpr core::milliseconds watch_wait{10000};
+constexpr core::milliseconds watch_wait{25000};
 // Loads of a host that has sent five beacons less than due are void.
 constexpr core::milliseconds load_expiry{1000};
 constexpr core::milliseconds peer_silence{1000};
@@ -59,12 +59,13 @@
     : loop(loop), client(client), metrics(metrics), store(store),
       own(std::move(settings)), layout(std::move(layout)),
       disk(std::move(disk)), start_number(random_number()),
-      peer_hosts(this->own.name, this->start_number,
+      peer_hosts(this->own.name, this->own.zone, this->start_number,
                  {load_expiry, peer_silence, peer_forget}),
       table(this->own.zone, this->own.region_of_zone, this->peer_hosts),
       socket(
-          loop, this->own.internal_address, this->own.region, this->peer_hosts,
-          [this] { return this->compose(); },
+          loop, this->own.internal_address,
+          {this->own.zone, this->own.region, !this->disk.empty()},
+          this->peer_hosts, [this] { return this->compose(); },
           [this](const core::peers::beacon&)
           {
               for (const auto& each : this->beacon_listeners)
@@ -264,6 +265,11 @@
 {
     auto now = boot_now();
     this->peer_hosts.expire(now);
+    // One host of each zone reads what changes all the time; the others take
+    // it over from hosts of their zone.
+    auto& listed =
+        *this->copies[static_cast<std::size_t>(copied_part::endpoints)];
+    listed.set_active(this->peer_hosts.leads_zone(now));
     for (std::size_t part = 0; part < part_count; part++)
     {
         auto& copy = *this->copies[part];
@@ -276,13 +282,15 @@
                 peer.copies.size() != part_count)
                 continue;
             // Missing a change, as on a silent connection, counts as well as
-            // a store that doesn't answer.
+            // a store that doesn't answer. Bytes between zones are priced, so
+            // other zones are asked only where nothing else helps.
             const auto& theirs = peer.copies[part];
+            bool near = peer.zone == this->own.zone || copy.failing();
             bool newer = theirs.changed > copy.changed() ||
                          (copy.failing() && theirs.as_of > copy.as_of());
-            bool watched =
-                part != static_cast<std::size_t>(copied_part::endpoints);
-            if (!newer || (!watched && !copy.failing()))
+            bool polled =
+                part == static_cast<std::size_t>(copied_part::endpoints);
+            if (!newer || (polled && !near))
                 continue;
             if (newest == nullptr || theirs.as_of > newest->copies[part].as_of)
                 newest = &peer;
--- a/source/http/client.cpp
+++ b/source/http/client.cpp
@@ -83,7 +83,8 @@
     sent.method = asked.method;
     sent.target = to.path;
     sent.headers = asked.headers;
-    sent.headers.add("Host", to.address);
+    if (asked.headers.get("Host").empty())
+        sent.headers.add("Host", to.address);
     sent.headers.add("Connection", "close");
     sent.connect_limit = asked.connect_limit;
     if (!asked.body.empty())
--- a/source/peers/beacon_socket.hpp
+++ b/source/peers/beacon_socket.hpp
@@ -13,11 +13,21 @@
 namespace amaranthhatch::peers
 {
 
+/// @brief Who a beacon socket speaks for.
+struct beacon_identity
+{
+    std::string zone;
+    std::string region;
+    /// True for hosts with a disk, which hold leases from each other.
+    bool has_disk = false;
+};
+
 /// @brief Sends this host's beacon to the others, and hears theirs.
 ///
-/// A beacon goes out soon after a change of load, and at an interval without
-/// one. Hosts of another region hear less often: the link between regions is
-/// narrow and priced, and their endpoints are the last choice.
+/// A beacon goes out to the own zone soon after a change of load, and at an
+/// interval without one. The host that leads its zone sends the zone's summary
+/// to the leads of the other zones, which pass it on in theirs: the links
+/// between zones are priced by volume, and their endpoints a later choice.
 class beacon_socket
 {
 public:
@@ -26,7 +36,7 @@
 
     /// @brief Binds "IP:PORT". Throws errors::failure if it can't.
     beacon_socket(boost::asio::io_context& loop, const std::string& address,
-                  std::string own_region, core::peers::peer_table& peers,
+                  beacon_identity own, core::peers::peer_table& peers,
                   beacon_source compose, beacon_callback heard);
 
     void start();
@@ -37,19 +47,25 @@
 
 private:
     void receive();
+    void take(std::string_view bytes);
     void schedule(core::milliseconds after);
     void send();
+    void send_summary(core::peers::beacon own, core::instant now);
+    void send_to_zone(const std::string& bytes);
+    void send_to(const core::peers::peer& peer, const std::string& bytes);
 
     boost::asio::ip::udp::socket socket;
     boost::asio::steady_timer timer;
-    std::string own_region;
+    beacon_identity own;
     core::peers::peer_table& peers;
     beacon_source compose;
     beacon_callback heard;
     std::array<char, 65536> buffer{};
     boost::asio::ip::udp::endpoint sender;
     core::instant last_sent{};
-    core::instant last_far_sent{};
+    core::instant last_disk_sent{};
+    core::instant last_near_summary{};
+    core::instant last_far_summary{};
     bool urgent = false;
     bool stopped = false;
 };
--- a/source/store/mirror.cpp
+++ b/source/store/mirror.cpp
@@ -141,6 +141,7 @@
             changed = true;
     }
     this->known = std::move(next);
+    this->fresh_at = host::boot_now();
     this->as_of_revision = got.revision;
     if (changed)
         this->report_change();
@@ -154,14 +155,6 @@
     return true;
 }
 
-void mirror::refresh()
-{
-    if (this->calling || this->stopped)
-        return;
-    this->timer.cancel();
-    this->list();
-}
-
 const entry* mirror::find(std::string_view key) const
 {
     auto found = this->known.find(key);
@@ -217,6 +210,10 @@
                 return;
             if (this->options.mode == mirror_mode::watch && this->complete)
                 return this->watch();
+            auto age = host::boot_now() - this->fresh_at;
+            bool fresh = age < this->options.interval * 3 / 2;
+            if (!this->active && this->complete && fresh)
+                return this->schedule(this->options.interval / 4);
             this->list();
         });
 }
--- a/source/store/mirror.hpp
+++ b/source/store/mirror.hpp
@@ -55,8 +55,9 @@
     /// @brief Takes another host's copy where it is newer; true if it was.
     bool adopt(const listing& theirs);
 
-    /// @brief Reads from the store now instead of at the next interval.
-    void refresh();
+    /// @brief Says whether this host reads a polled part itself; otherwise it
+    /// does so only where nobody's copy has arrived for long.
+    void set_active(bool reads) { this->active = reads; }
 
     const std::map<std::string, entry, std::less<>>& entries() const
     {
@@ -99,6 +100,8 @@
     bool complete = false;
     bool stopped = false;
     bool calling = false;
+    bool active = true;
+    core::instant fresh_at{};
     int failures = 0;
     core::instant failing_since{};
     core::instant keep_removed_until{};
--- a/tests/core/endpoints_test.cpp
+++ b/tests/core/endpoints_test.cpp
@@ -22,7 +22,7 @@
 struct three_endpoints
 {
     three_endpoints()
-        : peers("self", 1, {1000ms, 1000ms, 10000ms}),
+        : peers("self", "near", 1, {1000ms, 1000ms, 10000ms}),
           table("near", {{"near", "r1"}, {"next", "r1"}, {"far", "r2"}}, peers)
     {
         this->table.replace({make("near-1", "near"), make("next-1", "next"),
@@ -58,6 +58,7 @@
         core::peers::beacon from;
         from.name = "other";
         from.incarnation = 7;
+        from.zone = "near";
         from.sent_ms = ++this->sent;
         from.loads = {{core::hash(id), online, batch}};
         this->peers.hear(from, this->now);
--- a/tests/core/peers_test.cpp
+++ b/tests/core/peers_test.cpp
@@ -13,7 +13,7 @@
 
 struct heard_hosts
 {
-    heard_hosts() : peers("self", 5, {1000ms, 1000ms, 10000ms}) {}
+    heard_hosts() : peers("self", "z1", 5, {1000ms, 1000ms, 10000ms}) {}
 
     beacon from(std::string name, std::int64_t sent,
                 std::uint64_t incarnation = 1) const
@@ -23,6 +23,7 @@
         out.incarnation = incarnation;
         out.sent_ms = sent;
         out.address = "127.0.0.1:1";
+        out.zone = "z1";
         out.disk = "disk-" + out.name;
         return out;
     }
@@ -111,3 +112,61 @@
     CHECK(this->peers.backlog_tokens(7, this->now + 950ms) == 150);
     CHECK(this->peers.backlog_tokens(7, this->now + 1200ms) == 50);
 }
+
+TEST_CASE_METHOD(heard_hosts, "zone summary, of another zone, is its load")
+{
+    auto host = this->from("b", 1);
+    host.zone = "z2";
+    host.loads = {{42, 9, 9}};
+    this->peers.hear(host, this->now);
+    CHECK(this->peers.load(42).online == 0);
+    auto summary = this->from("a", 1);
+    summary.zone = "z2";
+    summary.zone_summary = true;
+    summary.loads = {{42, 3, 1}};
+    CHECK(this->peers.hear(summary, this->now));
+    CHECK_FALSE(this->peers.hear(this->from("a", 0), this->now));
+    CHECK(this->peers.load(42).online == 3);
+    // Another host speaks for the zone after the first one is gone.
+    summary.name = "b";
+    summary.sent_ms = 2;
+    summary.loads = {{42, 1, 0}};
+    this->peers.hear(summary, this->now + 100ms);
+    CHECK(this->peers.load(42).online == 1);
+    this->peers.refresh_loads(this->now + 1200ms);
+    CHECK(this->peers.load(42).online == 0);
+}
+
+TEST_CASE_METHOD(heard_hosts, "zone lead, first live name, is it")
+{
+    CHECK(this->peers.leads_zone(this->now));
+    this->peers.hear(this->from("a", 1), this->now);
+    CHECK_FALSE(this->peers.leads_zone(this->now));
+    CHECK(this->peers.zone_size(this->now) == 2);
+    CHECK(this->peers.leads_zone(this->now + 1100ms));
+    auto leaving = this->from("a", 2);
+    leaving.leaving = true;
+    this->peers.hear(leaving, this->now);
+    CHECK(this->peers.leads_zone(this->now));
+}
+
+TEST_CASE_METHOD(heard_hosts, "other zones' leads, heard or guessed, are told")
+{
+    std::vector<core::peers::peer> listed(4);
+    const char* names[] = {"d", "b", "c", "e"};
+    for (std::size_t at = 0; at < listed.size(); at++)
+    {
+        listed[at].name = names[at];
+        listed[at].zone = "z2";
+        listed[at].address = "127.0.0.1:3";
+    }
+    this->peers.register_all(listed);
+    CHECK(this->peers.other_zone_leads(this->now).size() == 2);
+    auto summary = this->from("d", 1);
+    summary.zone = "z2";
+    summary.zone_summary = true;
+    this->peers.hear(summary, this->now);
+    auto leads = this->peers.other_zone_leads(this->now);
+    REQUIRE(leads.size() == 1);
+    CHECK(leads[0]->name == "d");
+}
--- /dev/null
+++ b/tests/core/shell_io_test.cpp
@@ -0,0 +1,354 @@
+#include <catch2/catch.hpp>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+
+#include "batches/disk_log.hpp"
+#include "batches/records.hpp"
+#include "forward/event_splitter.hpp"
+#include "logging/bounded_sink.hpp"
+#include "peers/packing.hpp"
+#include "store/mirror.hpp"
+
+using namespace amaranthhatch;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+struct log_folder
+{
+    log_folder()
+    {
+        std::string pattern =
+            (std::filesystem::temp_directory_path() / "hatch-log-XXXXXX")
+                .string();
+        this->path = mkdtemp(pattern.data());
+    }
+    ~log_folder() { std::filesystem::remove_all(this->path); }
+
+    std::vector<std::string> replayed()
+    {
+        std::vector<std::string> out;
+        batches::disk_log log(this->loop, this->path);
+        log.replay([&](std::string_view frame) { out.emplace_back(frame); });
+        return out;
+    }
+
+    void store(const std::vector<std::string>& frames)
+    {
+        batches::disk_log log(this->loop, this->path);
+        log.replay([](std::string_view) {});
+        bool stored = false;
+        log.append(frames, [&] { stored = true; });
+        while (!stored)
+        {
+            this->loop.restart();
+            this->loop.poll();
+        }
+    }
+
+    std::string file() const { return this->path + "/log-00000001"; }
+
+    boost::asio::io_context loop;
+    std::string path;
+};
+
+/// @brief A store whose answers the test gives.
+class scripted_store : public store::async_store
+{
+public:
+    void list(std::string_view, listing_callback done) override
+    {
+        this->lists.push_back(std::move(done));
+    }
+    void watch(std::string_view, std::uint64_t after, std::chrono::milliseconds,
+               listing_callback done) override
+    {
+        this->watched_from = after;
+        this->watches.push_back(std::move(done));
+    }
+    void commit(const store::change&, change_callback) override {}
+    void grant(std::chrono::milliseconds, lease_callback) override {}
+    void renew(std::uint64_t, lease_callback) override {}
+    void revoke(std::uint64_t, lease_callback) override {}
+
+    void answer_list(store::listing answer)
+    {
+        auto done = std::move(this->lists.front());
+        this->lists.erase(this->lists.begin());
+        done(answer);
+    }
+    void answer_watch(store::listing answer)
+    {
+        auto done = std::move(this->watches.front());
+        this->watches.erase(this->watches.begin());
+        done(answer);
+    }
+
+    std::vector<listing_callback> lists;
+    std::vector<listing_callback> watches;
+    std::uint64_t watched_from = 0;
+};
+
+struct watched_prefix
+{
+    watched_prefix()
+        : copy(this->loop, this->source,
+               {"op/", store::mirror_mode::watch, 1000ms, 2000ms, 0ms})
+    {
+        this->copy.on_change([this] { this->changes++; });
+        this->copy.start();
+    }
+
+    static store::listing full(std::uint64_t revision,
+                               std::vector<store::entry> entries)
+    {
+        return {store::outcome::done, revision, std::move(entries)};
+    }
+
+    void run_timers(std::chrono::milliseconds time)
+    {
+        this->loop.restart();
+        this->loop.run_for(time);
+    }
+
+    boost::asio::io_context loop;
+    scripted_store source;
+    store::mirror copy;
+    int changes = 0;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(log_folder, "disk log, frames, are read back in order")
+{
+    this->store({"one", "two"});
+    this->store({"three"});
+    CHECK(this->replayed() == std::vector<std::string>{"one", "two", "three"});
+}
+
+TEST_CASE_METHOD(log_folder, "disk log, torn tail, is dropped and overwritten")
+{
+    this->store({"one", "two"});
+    auto size = std::filesystem::file_size(this->file());
+    auto cut = GENERATE(1, 2, 3, 10, 18);
+    std::filesystem::resize_file(this->file(), size - cut);
+    CHECK(this->replayed() == std::vector<std::string>{"one"});
+    this->store({"three"});
+    CHECK(this->replayed() == std::vector<std::string>{"one", "three"});
+}
+
+TEST_CASE_METHOD(log_folder, "disk log, changed byte, ends the reading there")
+{
+    this->store({"one", "two", "three"});
+    std::fstream file(this->file(), std::ios::in | std::ios::out);
+    file.seekp(16 + 3 + 16);
+    file.put('X');
+    file.close();
+    CHECK(this->replayed() == std::vector<std::string>{"one"});
+}
+
+TEST_CASE_METHOD(log_folder, "disk log, compacted, holds the new frames only")
+{
+    {
+        batches::disk_log log(this->loop, this->path);
+        bool stored = false;
+        log.append({"old"}, nullptr);
+        log.compact({"new"});
+        log.append({"after"}, [&] { stored = true; });
+        while (!stored)
+        {
+            this->loop.restart();
+            this->loop.poll();
+        }
+    }
+    CHECK(this->replayed() == std::vector<std::string>{"new", "after"});
+}
+
+TEST_CASE_METHOD(log_folder,
+                 "disk identity, same folder, stays; empty, differs")
+{
+    std::string first;
+    {
+        batches::disk_log log(this->loop, this->path);
+        first = log.identity();
+    }
+    {
+        batches::disk_log log(this->loop, this->path);
+        CHECK(log.identity() == first);
+    }
+    std::filesystem::remove_all(this->path);
+    batches::disk_log log(this->loop, this->path);
+    CHECK(log.identity() != first);
+}
+
+TEST_CASE_METHOD(watched_prefix, "mirror, late events, never bring back old")
+{
+    this->source.answer_list(full(10, {{"op/a", "new", 9, false}}));
+    CHECK(this->copy.find("op/a")->value == "new");
+    CHECK(this->source.watched_from == 10);
+    // Another host's newer copy arrives while the watch waits.
+    CHECK(this->copy.adopt(full(20, {{"op/a", "newest", 19, false}})));
+    CHECK_FALSE(this->copy.adopt(full(15, {{"op/a", "new", 9, false}})));
+    this->source.answer_watch(
+        full(12, {{"op/a", "between", 12, false}, {"op/b", "x", 12, false}}));
+    CHECK(this->copy.find("op/a")->value == "newest");
+    CHECK(this->copy.find("op/b") == nullptr);
+    CHECK(this->copy.as_of() == 20);
+}
+
+TEST_CASE_METHOD(watched_prefix, "mirror, history lost, lists again")
+{
+    this->source.answer_list(full(10, {{"op/a", "one", 9, false}}));
+    this->source.answer_watch({store::outcome::history_lost, 0, {}});
+    REQUIRE(this->source.lists.size() == 1);
+    this->source.answer_list(full(30, {{"op/a", "two", 29, false}}));
+    CHECK(this->copy.find("op/a")->value == "two");
+    CHECK(this->changes == 2);
+}
+
+TEST_CASE_METHOD(watched_prefix, "mirror, store away, keeps what it had")
+{
+    this->source.answer_list(full(10, {{"op/a", "one", 9, false}}));
+    this->source.answer_watch({store::outcome::refused, 0, {}});
+    CHECK(this->copy.failing());
+    CHECK(this->copy.find("op/a") != nullptr);
+    this->run_timers(400ms);
+    REQUIRE_FALSE(this->source.watches.empty());
+    this->source.answer_watch(full(11, {{"op/a", "", 11, true}}));
+    CHECK_FALSE(this->copy.failing());
+    CHECK(this->copy.find("op/a") == nullptr);
+}
+
+TEST_CASE("mirror, entries lapsed in an outage, are kept for the grace")
+{
+    boost::asio::io_context loop;
+    scripted_store source;
+    store::mirror copy(
+        loop, source,
+        {"servers/", store::mirror_mode::poll, 20ms, 200ms, 100ms});
+    copy.start();
+    auto wait_for_list = [&](std::chrono::milliseconds limit)
+    {
+        auto end = std::chrono::steady_clock::now() + limit;
+        while (source.lists.empty() && std::chrono::steady_clock::now() < end)
+        {
+            loop.restart();
+            loop.run_for(5ms);
+        }
+        REQUIRE_FALSE(source.lists.empty());
+    };
+    source.answer_list(
+        {store::outcome::done, 5, {{"servers/a", "x", 4, false}}});
+    wait_for_list(500ms);
+    source.answer_list({store::outcome::refused, 0, {}});
+    std::this_thread::sleep_for(150ms);
+    wait_for_list(500ms);
+    source.answer_list({store::outcome::done, 9, {}});
+    CHECK(copy.find("servers/a") != nullptr);
+    std::this_thread::sleep_for(250ms);
+    wait_for_list(500ms);
+    source.answer_list({store::outcome::done, 10, {}});
+    CHECK(copy.find("servers/a") == nullptr);
+}
+
+TEST_CASE("event splitter, bytes in any pieces, gives whole events")
+{
+    std::string text = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda";
+    for (std::size_t size = 1; size < text.size(); size++)
+    {
+        forward::event_splitter splitter;
+        std::string whole;
+        for (std::size_t at = 0; at < text.size(); at += size)
+            whole += splitter.feed(text.substr(at, size));
+        CHECK(whole == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+        CHECK(splitter.last_id() == "2");
+        CHECK(splitter.rest() == "id: 3\nda");
+    }
+}
+
+TEST_CASE("event data, several lines, are joined by line feeds")
+{
+    std::vector<std::string> data;
+    forward::for_each_data(
+        "id: 1\ndata: a\ndata:b\n\n: note\n\ndata: c\r\n\r\n",
+        [&](std::string_view one) { data.emplace_back(one); });
+    CHECK(data == std::vector<std::string>{"a\nb", "c"});
+}
+
+TEST_CASE("bounded sink, reader that pauses, drops lines and never waits")
+{
+    int ends[2];
+    REQUIRE(pipe(ends) == 0);
+    fcntl(ends[0], F_SETFL, O_NONBLOCK);
+    logging::bounded_sink sink(ends[1], "test", "node");
+    std::string line(2000, 'x');
+    for (int name = 0; name < 40; name++)
+        for (int at = 0; at < 50; at++)
+            sink.write(logging::level::info, "event" + std::to_string(name),
+                       line);
+    CHECK(sink.dropped() > 0);
+    std::string read;
+    std::string block(1u << 16, '\0');
+    for (int turn = 0; turn < 50; turn++)
+    {
+        for (ssize_t count = 0;
+             (count = ::read(ends[0], block.data(), block.size())) > 0;)
+            read.append(block.data(), static_cast<std::size_t>(count));
+        sink.write(logging::level::info, "later" + std::to_string(turn), "y");
+    }
+    CHECK(read.find("event=log_lines_dropped count=") != read.npos);
+    close(ends[0]);
+    close(ends[1]);
+}
+
+TEST_CASE("bounded sink, one kind of event in a storm, leaves others room")
+{
+    int file = open("/dev/null", O_WRONLY);
+    logging::bounded_sink sink(file, "test", "node");
+    for (int at = 0; at < 1000; at++)
+        sink.write(logging::level::info, "storm", "event=storm");
+    auto dropped = sink.dropped();
+    CHECK(dropped >= 800);
+    sink.write(logging::level::info, "other", "event=other");
+    CHECK(sink.dropped() == dropped);
+    close(file);
+}
+
+TEST_CASE("peer messages, cut anywhere, are refused and never crash")
+{
+    core::peers::beacon sent;
+    sent.name = "a";
+    sent.loads = {{1, 2, 3}};
+    sent.echoes = {{1, 2, 3}};
+    auto bytes = peers::pack(sent);
+    REQUIRE(peers::unpack_beacon(bytes));
+    CHECK(peers::unpack_beacon(bytes)->loads[0].batch == 3);
+    for (std::size_t size = 0; size < bytes.size(); size++)
+        CHECK_FALSE(peers::unpack_beacon(bytes.substr(0, size)));
+    batches::append_call call;
+    call.jobs.push_back({"job", 1, 1, {}});
+    auto packed = batches::pack(call);
+    REQUIRE(batches::unpack_append(packed));
+    for (std::size_t size = 0; size < packed.size(); size++)
+        CHECK_FALSE(batches::unpack_append(packed.substr(0, size)));
+}
+
+TEST_CASE("placement text, written and read, is the same; rubbish is none")
+{
+    core::batches::placement made;
+    made.partitions.push_back({4, "d1", 77, {"d1", "d2"}});
+    auto read = batches::parse_placement(batches::placement_text(made));
+    REQUIRE(read);
+    CHECK(read->partitions == made.partitions);
+    for (const auto* text : {"", "{", "{}", "[1]", R"([{"epoch":1}])"})
+    {
+        INFO(text);
+        auto parsed = batches::parse_placement(text);
+        CHECK((!parsed || parsed->partitions.empty()));
+    }
+}
--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -23,14 +23,6 @@
 
 constexpr milliseconds call_limit{60'000};
 
-// The programs lie in the build's folder of binaries, which CTest names.
-std::string binary(const std::string& name)
-{
-    const char* folder = std::getenv("HATCH_BINARIES");
-    return std::string(folder == nullptr ? "build/release/bin" : folder) + "/" +
-           name;
-}
-
 bool is_free(std::uint16_t port)
 {
     int socket_number = socket(AF_INET, SOCK_STREAM, 0);
@@ -44,6 +36,29 @@
     return bound;
 }
 
+std::string quoted_list(const std::vector<node>& nodes)
+{
+    std::string text = "[";
+    for (const auto& one : nodes)
+        text += "\"" + one.address + "\", ";
+    return text + "]";
+}
+
+std::string kind_of(const node& one, const fleet_plan& plan)
+{
+    return one.name.starts_with("engine") ? plan.model : "seats";
+}
+
+} // namespace
+
+// The programs lie in the build's folder of binaries, which CTest names.
+std::string binary(const std::string& name)
+{
+    const char* folder = std::getenv("HATCH_BINARIES");
+    return std::string(folder == nullptr ? "build/release/bin" : folder) + "/" +
+           name;
+}
+
 // Ports lie below those that outgoing connections get, and none is given
 // twice: a program that starts seconds later still finds its port free.
 std::string free_address()
@@ -60,21 +75,6 @@
     }
 }
 
-std::string quoted_list(const std::vector<node>& nodes)
-{
-    std::string text = "[";
-    for (const auto& one : nodes)
-        text += "\"" + one.address + "\", ";
-    return text + "]";
-}
-
-std::string kind_of(const node& one, const fleet_plan& plan)
-{
-    return one.name.starts_with("engine") ? plan.model : "seats";
-}
-
-} // namespace
-
 void node::start()
 {
     this->process =
--- a/tests/fleet/fleet.hpp
+++ b/tests/fleet/fleet.hpp
@@ -114,6 +114,12 @@
     std::string node_table(const node& one) const;
 };
 
+/// @brief The path of one of the project's programs.
+std::string binary(const std::string& name);
+
+/// @brief A loopback address whose port is free; no port is given twice.
+std::string free_address();
+
 /// @brief Posts JSON to a stand-in's switches.
 nlohmann::json admin(const node& target, const nlohmann::json& change);
 
--- /dev/null
+++ b/tests/platform/online_path_test.cpp
@@ -0,0 +1,272 @@
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <fstream>
+#include <thread>
+
+#include "platform_fleet.hpp"
+
+using namespace amaranthhatch;
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+namespace
+{
+
+std::string whole_stream(const std::string& id, int events = 10)
+{
+    std::string text;
+    for (int at = 1; at <= events; at++)
+    {
+        auto number = std::to_string(at);
+        text += "id: " + number + "\ndata: " + id + "-" + number + "\n\n";
+    }
+    return text;
+}
+
+struct online_path
+{
+    online_path() : fleet(2, 0, 2) { this->fleet.start(); }
+
+    int runs(const std::string& id)
+    {
+        int total = 0;
+        for (const auto& worker : this->fleet.workers)
+            total += fleet::counters(worker).at("runs").value(id, 0);
+        return total;
+    }
+
+    json asked(const std::string& id)
+    {
+        for (const auto& worker : this->fleet.workers)
+        {
+            auto all = fleet::counters(worker).at("asked");
+            if (all.contains(id))
+                return all.at(id);
+        }
+        return {};
+    }
+
+    void switch_workers(const json& change)
+    {
+        for (const auto& worker : this->fleet.workers)
+            fleet::admin(worker, change);
+    }
+
+    tests::platform_fleet fleet;
+};
+
+std::vector<std::string> row_fields(const std::string& line)
+{
+    std::vector<std::string> out;
+    std::size_t at = 0;
+    for (;;)
+    {
+        auto end = line.find(" | ", at);
+        out.push_back(line.substr(at, end - at));
+        if (end == line.npos)
+            return out;
+        at = end + 3;
+    }
+}
+
+} // namespace
+
+TEST_CASE_METHOD(online_path, "request, forwarded, passes unchanged both ways")
+{
+    auto reply =
+        this->fleet.call(0, "POST", "/once/a%20b?q=%41", "r1", "body\r\n",
+                         {{"Model", "m"}, {"Deadline-Ms", "3000"}});
+    CHECK(reply.status == 200);
+    CHECK(reply.body == whole_stream("r1"));
+    CHECK(reply.headers.get("Response-Signature") == "signed-r1");
+    auto seen = this->asked("r1");
+    CHECK(seen.at("target") == "/once/a%20b?q=%41");
+    CHECK(seen.at("body") == "body\r\n");
+    CHECK(seen.at("host") == "app.example");
+    CHECK(seen.at("model") == "m");
+    auto left = std::stoi(seen.at("deadline").get<std::string>());
+    CHECK(left <= 3000);
+    CHECK(left > 2000);
+}
+
+TEST_CASE_METHOD(online_path,
+                 "request, no route, says 404; no host says so too")
+{
+    CHECK(this->fleet.call(0, "POST", "/none/x", "r1", "").status == 404);
+    CHECK(this->fleet.call(0, "GET", "/lots/none?after=0", "", "").status !=
+          200);
+}
+
+TEST_CASE_METHOD(online_path, "request, faults of the table, end as they must")
+{
+    std::ifstream rows(std::string(HATCH_CASES) +
+                       "/faults/platform-online.csv");
+    int number = 0;
+    for (std::string line; std::getline(rows, line);)
+    {
+        if (line.starts_with('#'))
+            continue;
+        auto row = row_fields(line);
+        INFO(line);
+        auto id = "f" + std::to_string(number++);
+        // One worker only, so that the switch meets the request.
+        auto switches = json::parse(row[1]);
+        bool all = switches.contains("full");
+        if (all)
+            this->switch_workers(switches);
+        else
+        {
+            this->fleet.drop_worker(1);
+            std::this_thread::sleep_for(700ms);
+            fleet::admin(this->fleet.workers[0], switches);
+            this->fleet.register_worker(1, "ready");
+        }
+        auto reply = this->fleet.call(0, "POST", row[2], id, "b");
+        if (row[3] == "cut")
+            CHECK(reply.reached == http::progress::unknown);
+        else
+            CHECK(reply.status == std::stoi(row[3]));
+        CHECK(this->runs(id) <= std::stoi(row[4]));
+        if (row[5] == "whole")
+            CHECK(reply.body == whole_stream(id));
+        if (row[3] == "503")
+            CHECK_FALSE(reply.headers.get("Retry-After").empty());
+        this->switch_workers({{"full", false}, {"cut", 0}, {"unsigned", 0}});
+        std::this_thread::sleep_for(1200ms);
+    }
+    CHECK(number == 5);
+}
+
+TEST_CASE_METHOD(online_path,
+                 "crossed answer, of another request, is not given")
+{
+    this->switch_workers({{"crossed", 1}});
+    auto reply = this->fleet.call(0, "POST", "/once/x", "r1", "b");
+    CHECK(reply.body.find("another") == std::string::npos);
+    CHECK(reply.status != 200);
+}
+
+TEST_CASE_METHOD(online_path, "worker draining or gone, gets nothing new")
+{
+    this->fleet.register_worker(0, "draining");
+    std::this_thread::sleep_for(1500ms);
+    for (int at = 0; at < 6; at++)
+        CHECK(this->fleet
+                  .call(0, "POST", "/once/x", "d" + std::to_string(at), "b")
+                  .status == 200);
+    CHECK(fleet::counters(this->fleet.workers[0]).at("runs").empty());
+    this->fleet.register_worker(0, "ready");
+    this->fleet.drop_worker(1);
+    std::this_thread::sleep_for(1500ms);
+    auto before = fleet::counters(this->fleet.workers[1]).at("runs").size();
+    CHECK(this->fleet.call(0, "POST", "/once/x", "after", "b").status == 200);
+    CHECK(fleet::counters(this->fleet.workers[1]).at("runs").size() == before);
+}
+
+TEST_CASE_METHOD(online_path, "worker replaced at its address, does not run it")
+{
+    this->switch_workers({{"id", "i-new"}});
+    auto reply = this->fleet.call(0, "POST", "/once/x", "r1", "b");
+    CHECK(reply.status == 503);
+    CHECK(this->runs("r1") == 0);
+}
+
+TEST_CASE_METHOD(online_path, "configuration, newer, is in force; older is not")
+{
+    auto served = [this](std::size_t entry)
+    {
+        return this->fleet
+                   .call(entry, "POST", "/new/x", "n" + std::to_string(entry),
+                         "b")
+                   .status == 200;
+    };
+    CHECK_FALSE(served(0));
+    this->fleet.configure(
+        [](json& config)
+        {
+            auto added = config["routes"][0];
+            added["name"] = "new";
+            added["prefix"] = "/new/";
+            config["routes"].push_back(added);
+        });
+    CHECK(fleet::eventually([&] { return served(0) && served(1); }, 3s));
+    this->fleet.configuration["version"] = 1;
+    this->fleet.configure(
+        [](json& config)
+        { config["routes"].erase(config["routes"].size() - 1); });
+    std::this_thread::sleep_for(500ms);
+    CHECK(served(0));
+}
+
+TEST_CASE_METHOD(online_path, "store away, restarted entry, learns from others")
+{
+    fleet::admin(this->fleet.store, {{"outage", true}});
+    CHECK(this->fleet.call(0, "POST", "/once/x", "r1", "b").status == 200);
+    this->fleet.entries[1].restart();
+    CHECK(fleet::eventually(
+        [this] {
+            return this->fleet.call(1, "POST", "/once/x", "r2", "b").status ==
+                   200;
+        },
+        10s));
+}
+
+TEST_CASE_METHOD(online_path, "caller leaves, its worker stops soon")
+{
+    this->switch_workers({{"events", 1000}, {"event_ms", 20}});
+    {
+        http::call asked;
+        asked.method = "POST";
+        asked.url = "http://" + this->fleet.fronts[0] + "/once/x";
+        asked.headers.add("Host", "app.example");
+        asked.headers.add("Request-Id", "gone");
+        http::stream stream(asked);
+        for (int at = 0; at < 10; at++)
+            stream.pump(30ms);
+        CHECK(this->runs("gone") == 1);
+    }
+    CHECK(fleet::eventually(
+        [this]
+        {
+            int running = 0;
+            for (const auto& worker : this->fleet.workers)
+                running += fleet::counters(worker).at("running").get<int>();
+            return running == 0;
+        },
+        1s));
+}
+
+TEST_CASE_METHOD(online_path, "SIGTERM, running stream, is not cut")
+{
+    this->switch_workers({{"events", 60}, {"event_ms", 50}});
+    http::reply reply;
+    std::thread caller(
+        [&] { reply = this->fleet.call(0, "POST", "/once/x", "r1", "b"); });
+    std::this_thread::sleep_for(300ms);
+    this->fleet.entries[0].process->signal(SIGTERM);
+    CHECK(fleet::eventually(
+        [this]
+        { return fleet::get(this->fleet.ready[0], "/readyz").status == 503; },
+        1s));
+    caller.join();
+    CHECK(reply.body == whole_stream("r1", 60));
+    CHECK(this->fleet.entries[0].process->stop(8s) == 0);
+}
+
+TEST_CASE_METHOD(online_path, "a request's log line, tells what became of it")
+{
+    this->switch_workers({{"cut", 1}});
+    this->fleet.call(0, "POST", "/once/x", "lost-one", "b");
+    this->switch_workers({{"cut", 0}});
+    auto text = this->fleet.log_of(this->fleet.entries[0]);
+    auto at = text.find("id=lost-one");
+    REQUIRE(at != text.npos);
+    auto line = text.substr(at, text.find('\n', at) - at);
+    CHECK(line.find("outcome=cut") != line.npos);
+    CHECK(line.find("ran=1") != line.npos);
+    CHECK(line.find("endpoint=i-") != line.npos);
+    auto metrics = fleet::get(this->fleet.entries[0].address, "/metrics").body;
+    CHECK(metrics.find("hatch_requests_total{outcome=\"cut\"") != metrics.npos);
+    CHECK(metrics.find("hatch_first_event_seconds_bucket") != metrics.npos);
+}
--- /dev/null
+++ b/tests/platform/platform_fleet.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "fleet.hpp"
+
+namespace amaranthhatch::tests
+{
+
+/// @brief The platform's programs on loopback, with its store and workers.
+class platform_fleet
+{
+public:
+    platform_fleet(int entries, int batch_hosts, int workers);
+    ~platform_fleet();
+
+    /// @brief Starts everything and waits until the entries are ready.
+    void start();
+
+    /// @brief Writes the operator's configuration with one more version.
+    void configure(const std::function<void(nlohmann::json&)>& change = {});
+
+    /// @brief Writes or renews a worker's entry.
+    void register_worker(std::size_t worker, const std::string& state);
+    void drop_worker(std::size_t worker);
+
+    /// @brief Deletes a batch host's data folder.
+    void wipe(std::size_t host);
+
+    /// @brief A call to an entry as a client makes it.
+    http::reply call(std::size_t entry, const std::string& method,
+                     const std::string& path, const std::string& id,
+                     const std::string& body,
+                     const std::vector<http::header>& headers = {}) const;
+
+    /// @brief The body that submits a job of items with these bodies.
+    static std::string job_body(const std::string& job,
+                                const std::vector<std::string>& bodies);
+
+    /// @brief Reads all results; empty where the answer isn't 200.
+    nlohmann::json results(std::size_t entry, const std::string& job) const;
+
+    /// @brief The lines that a node wrote to its standard output.
+    std::string log_of(const fleet::node& node) const;
+
+    fleet::node store;
+    std::vector<fleet::node> entries;
+    std::vector<fleet::node> batch_hosts;
+    std::vector<fleet::node> workers;
+    std::vector<std::string> fronts;
+    std::vector<std::string> ready;
+    nlohmann::json configuration;
+    std::string folder;
+
+private:
+    fleet::node make(const std::string& name, const std::string& zone);
+    void write_settings(const fleet::node& node, const std::string& front,
+                        const std::string& ready_address,
+                        const std::string& data) const;
+};
+
+} // namespace amaranthhatch::tests
--- /dev/null
+++ b/tests/platform/store_client_test.cpp
@@ -0,0 +1,152 @@
+#include <catch2/catch.hpp>
+
+#include <optional>
+
+#include "platform_fleet.hpp"
+#include "store_client.hpp"
+
+using namespace amaranthhatch;
+using namespace std::chrono_literals;
+using store::outcome;
+
+namespace
+{
+
+struct store_contract
+{
+    store_contract() : fleet(0, 0, 0)
+    {
+        this->fleet.store.start();
+        REQUIRE(fleet::eventually(
+            [this] {
+                return fleet::get(this->fleet.store.address, "/admin").status ==
+                       200;
+            }));
+        this->client.emplace(this->loop, this->http, this->metrics,
+                             this->fleet.store.address);
+    }
+
+    template <typename Answer, typename Call>
+    Answer wait(Call call)
+    {
+        std::optional<Answer> got;
+        call([&](const Answer& answer) { got = answer; });
+        auto end = std::chrono::steady_clock::now() + 5s;
+        while (!got && std::chrono::steady_clock::now() < end)
+        {
+            this->loop.restart();
+            this->loop.run_for(5ms);
+        }
+        REQUIRE(got);
+        return *got;
+    }
+
+    store::listing list(const std::string& prefix)
+    {
+        return this->wait<store::listing>(
+            [&](auto done) { this->client->list(prefix, done); });
+    }
+    store::listing watch(const std::string& prefix, std::uint64_t after,
+                         std::chrono::milliseconds time)
+    {
+        return this->wait<store::listing>(
+            [&](auto done) { this->client->watch(prefix, after, time, done); });
+    }
+    store::change_result write(const std::string& key, const std::string& value,
+                               std::uint64_t expected, std::uint64_t lease = 0)
+    {
+        store::change change;
+        change.conditions.push_back({key, expected});
+        change.writes.push_back({key, value, lease});
+        return this->wait<store::change_result>(
+            [&](auto done) { this->client->commit(change, done); });
+    }
+    store::lease_result grant(std::chrono::milliseconds time)
+    {
+        return this->wait<store::lease_result>(
+            [&](auto done) { this->client->grant(time, done); });
+    }
+
+    tests::platform_fleet fleet;
+    boost::asio::io_context loop;
+    http::async_client http{loop};
+    metrics::recorder metrics;
+    std::optional<platform::store_client> client;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(store_contract, "store client, pages, are read to the end")
+{
+    for (int at = 0; at < 8; at++)
+        CHECK(this->write("hatch/" + std::to_string(at), "v", 0).result ==
+              outcome::done);
+    this->write("other/x", "v", 0);
+    auto listed = this->list("hatch/");
+    CHECK(listed.result == outcome::done);
+    CHECK(listed.entries.size() == 8);
+    CHECK(listed.revision > 0);
+}
+
+TEST_CASE_METHOD(store_contract, "store client, condition fails, is a conflict")
+{
+    auto first = this->write("k", std::string("a\0b", 3), 0);
+    CHECK(first.result == outcome::done);
+    CHECK(this->write("k", "two", 0).result == outcome::conflict);
+    CHECK(this->write("k", "two", first.revision).result == outcome::done);
+    CHECK(this->list("k").entries[0].value == "two");
+}
+
+TEST_CASE_METHOD(store_contract,
+                 "store client, watch, tells writes and removals")
+{
+    auto first = this->write("a/1", "x", 0);
+    auto seen = this->watch("a/", first.revision - 1, 100ms);
+    REQUIRE(seen.entries.size() == 1);
+    CHECK(seen.entries[0].value == "x");
+    auto quiet = this->watch("a/", seen.revision, 50ms);
+    CHECK(quiet.result == outcome::done);
+    CHECK(quiet.entries.empty());
+    fleet::admin(this->fleet.store, {{"remove", {"a/1"}}});
+    auto gone = this->watch("a/", seen.revision, 1000ms);
+    REQUIRE(gone.entries.size() == 1);
+    CHECK(gone.entries[0].removed);
+}
+
+TEST_CASE_METHOD(store_contract, "store client, history lost, is told")
+{
+    this->write("a/1", "x", 0);
+    fleet::admin(this->fleet.store, {{"forget_history", true}});
+    CHECK(this->watch("a/", 0, 50ms).result == outcome::history_lost);
+}
+
+TEST_CASE_METHOD(store_contract, "store client, lease ends, its keys go")
+{
+    auto granted = this->grant(10000ms);
+    CHECK(granted.result == outcome::done);
+    CHECK(granted.time_to_live == 10000ms);
+    this->write("a/1", "x", 0, granted.lease);
+    auto kept = this->wait<store::lease_result>(
+        [&](auto done) { this->client->renew(granted.lease, done); });
+    CHECK(kept.result == outcome::done);
+    auto ended = this->wait<store::lease_result>(
+        [&](auto done) { this->client->revoke(granted.lease, done); });
+    CHECK(ended.result == outcome::done);
+    CHECK(this->list("a/").entries.empty());
+    auto again = this->wait<store::lease_result>(
+        [&](auto done) { this->client->renew(granted.lease, done); });
+    CHECK(again.result == outcome::missing);
+    CHECK(this->write("a/2", "x", 0, granted.lease).result == outcome::missing);
+}
+
+TEST_CASE_METHOD(store_contract, "store client, failures, are told apart")
+{
+    fleet::admin(this->fleet.store, {{"lose_answers", 1}});
+    CHECK(this->write("k", "one", 0).result == outcome::unknown);
+    CHECK(this->list("k").entries.size() == 1);
+    fleet::admin(this->fleet.store, {{"outage", true}});
+    CHECK(this->write("k", "two", 0).result == outcome::refused);
+    CHECK(this->list("k").result == outcome::refused);
+    this->fleet.store.process->kill();
+    CHECK(this->write("k", "two", 0).result != outcome::done);
+}
--- /dev/null
+++ b/tests/platform/translation_test.cpp
@@ -0,0 +1,192 @@
+#include <catch2/catch.hpp>
+
+#include <fstream>
+#include <sstream>
+
+#include "base64.hpp"
+#include "errors/failure.hpp"
+#include "node_settings.hpp"
+#include "operator_entries.hpp"
+
+using namespace amaranthhatch;
+using namespace std::chrono_literals;
+using core::routes::route_kind;
+
+namespace
+{
+
+std::string read_case(const std::string& name)
+{
+    std::ifstream in(std::string(HATCH_CASES) + "/platform/" + name);
+    std::ostringstream text;
+    text << in.rdbuf();
+    return text.str();
+}
+
+class no_store : public store::async_store
+{
+public:
+    void list(std::string_view, listing_callback) override {}
+    void watch(std::string_view, std::uint64_t, std::chrono::milliseconds,
+               listing_callback) override
+    {
+    }
+    void commit(const store::change&, change_callback) override {}
+    void grant(std::chrono::milliseconds, lease_callback) override {}
+    void renew(std::uint64_t, lease_callback) override {}
+    void revoke(std::uint64_t, lease_callback) override {}
+};
+
+std::string write_settings(const std::string& text)
+{
+    std::string path = "/tmp/hatch-settings-XXXXXX";
+    close(mkstemp(path.data()));
+    std::ofstream(path) << text;
+    return path;
+}
+
+} // namespace
+
+TEST_CASE("platform settings, the sample, are read; unknown fields ignored")
+{
+    auto read = platform::read_node_settings(std::string(HATCH_CASES) +
+                                                 "/platform/settings.toml",
+                                             platform::internal_port::batch);
+    CHECK(read.name == "frontend-a-1");
+    CHECK(read.internal_address == "127.0.0.1:7721");
+    CHECK(read.region_of_zone.at("c") == "r2");
+    CHECK(read.drain == 2500ms);
+    CHECK(read.grace == 8000ms);
+    CHECK(read.job_status == 120000ms);
+    CHECK(read.lost_disks == 1);
+    CHECK(read.backlog_overshoot == Approx(0.1));
+    CHECK(read.data_folder.empty());
+}
+
+TEST_CASE("platform settings, a field missing or wrong, is named")
+{
+    struct row
+    {
+        std::string from;
+        std::string to;
+        std::string named;
+    };
+    auto change = GENERATE(
+        row{"node_name = \"frontend-a-1\"", "", "node_name"},
+        row{"drain_ms = 2500", "drain_ms = \"soon\"", "bounds.drain_ms"},
+        row{"drain_ms = 2500", "drain_ms = -1", "bounds.drain_ms"},
+        row{"internal_ports = [7720, 7735]", "", "internal_ports"},
+        row{"machines = 1", "", "tolerate.machines"});
+    auto text = read_case("settings.toml");
+    auto at = text.find(change.from);
+    REQUIRE(at != text.npos);
+    text.replace(at, change.from.size(), change.to);
+    auto path = write_settings(text);
+    try
+    {
+        platform::read_node_settings(path, platform::internal_port::entry);
+        FAIL("accepted without " << change.named);
+    }
+    catch (const errors::failure& error)
+    {
+        CHECK(std::string(error.what()).find(change.named) !=
+              std::string::npos);
+    }
+    unlink(path.c_str());
+}
+
+TEST_CASE("platform settings, no file or no TOML, is an error")
+{
+    CHECK_THROWS_AS(platform::read_node_settings(
+                        "/nowhere", platform::internal_port::entry),
+                    errors::failure);
+    auto path = write_settings("node_name = ");
+    CHECK_THROWS_AS(
+        platform::read_node_settings(path, platform::internal_port::entry),
+        errors::failure);
+    unlink(path.c_str());
+}
+
+TEST_CASE("configuration, the sample, is decoded and broken parts left out")
+{
+    auto table =
+        platform::decode_configuration(read_case("configuration.json"));
+    REQUIRE(table);
+    CHECK(table->version() == 7);
+    REQUIRE(table->routes().size() == 3);
+    const auto* split = table->match("one.example", "/s/1");
+    REQUIRE(split != nullptr);
+    CHECK(split->kind == route_kind::stream);
+    CHECK(split->resumable);
+    CHECK(split->target_gap == 250ms);
+    CHECK(split->services.size() == 2);
+    const auto* jobs = table->match("one.example", "/j/1");
+    REQUIRE(jobs != nullptr);
+    CHECK(jobs->kind == route_kind::batch);
+    CHECK(jobs->backlog_tokens == 1800000);
+    CHECK(jobs->retention == 60000ms);
+    CHECK(jobs->completion_target == 18000ms);
+    // What an unknown kind may repeat isn't known.
+    CHECK(table->match("two.example", "/x")->kind == route_kind::once);
+    CHECK(table->find_service("old")->slots == 8);
+    CHECK(table->limits().body_bytes == 1000);
+}
+
+TEST_CASE("configuration, rubbish, is none")
+{
+    for (const auto* text : {"", "{", "[]", "{\"version\":1}",
+                             R"({"version":"x","routes":[],"services":[]})"})
+    {
+        INFO(text);
+        CHECK_FALSE(platform::decode_configuration(text));
+    }
+}
+
+TEST_CASE("worker entries, the table's, are used or ignored")
+{
+    std::istringstream rows(read_case("workers.csv"));
+    int count = 0;
+    for (std::string line; std::getline(rows, line);)
+    {
+        if (line.starts_with('#'))
+            continue;
+        auto bar = line.rfind(" | ");
+        auto expected = line.substr(bar + 3);
+        boost::asio::io_context loop;
+        no_store none;
+        store::mirror copy(loop, none, {"servers/", {}, 1s, {}, {}});
+        copy.adopt({store::outcome::done,
+                    2,
+                    {{"servers/i-1", line.substr(0, bar), 1, false}}});
+        platform::worker_entries decoder;
+        auto found = decoder.decode(copy);
+        INFO(line);
+        if (expected == "ignored")
+            CHECK(found.empty());
+        else
+        {
+            REQUIRE(found.size() == 1);
+            CHECK(found[0].id == "i-1");
+            CHECK(found[0].draining == (expected == "draining"));
+        }
+        count++;
+    }
+    CHECK(count == 10);
+}
+
+TEST_CASE("base64, all lengths, round trips; rubbish is refused")
+{
+    for (std::size_t size = 0; size < 70; size++)
+    {
+        std::string bytes;
+        for (std::size_t at = 0; at < size; at++)
+            bytes += static_cast<char>(at * 37 + size);
+        CHECK(platform::decode_base64(platform::encode_base64(bytes)) == bytes);
+    }
+    CHECK(platform::encode_base64("node-1") == "bm9kZS0x");
+    for (const auto* text : {"a", "ab", "a*==", "####"})
+    {
+        INFO(text);
+        CHECK_THROWS_AS(platform::decode_base64(text), errors::failure);
+    }
+}
--- /dev/null
+++ b/tests/standins/standin_platform_worker.cpp
@@ -0,0 +1,174 @@
+#include <atomic>
+#include <charconv>
+#include <map>
+#include <mutex>
+#include <thread>
+
+#include "standin_host.hpp"
+
+using namespace amaranthhatch;
+using nlohmann::json;
+
+namespace
+{
+
+/// @brief Switches and counts of the worker.
+struct worker_state
+{
+    // Held again by the streams that a call makes.
+    std::recursive_mutex guard;
+    std::string id = "i-1";
+    int events = 10;
+    int event_ms = 10;
+    /// Streams to break off in the middle of an event.
+    int cut = 0;
+    /// Answers to give without a signature.
+    int unsigned_answers = 0;
+    /// Answers that bear another request's id.
+    int crossed = 0;
+    bool full = false;
+    /// Runs by request id.
+    std::map<std::string, int> runs;
+    /// What each run was asked with.
+    std::map<std::string, json> asked;
+    int running = 0;
+};
+
+class event_source : public http::body_source
+{
+public:
+    event_source(worker_state& shared, std::string id, int first, int last,
+                 int gap_ms, bool cut)
+        : shared(shared), id(std::move(id)), next(first), last(last),
+          gap_ms(gap_ms), cut(cut)
+    {
+        std::lock_guard lock(this->shared.guard);
+        this->shared.running++;
+    }
+
+    ~event_source() override
+    {
+        std::lock_guard lock(this->shared.guard);
+        this->shared.running--;
+    }
+
+    state read(std::string& chunk) override
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds(this->gap_ms));
+        if (this->cut && this->next > this->last / 2)
+        {
+            if (this->half)
+                return state::failed;
+            this->half = true;
+            chunk = "id: " + std::to_string(this->next) + "\nda";
+            return state::data;
+        }
+        if (this->next > this->last)
+            return state::end;
+        auto number = std::to_string(this->next++);
+        chunk = "id: " + number + "\ndata: " + this->id + "-" + number + "\n\n";
+        return state::data;
+    }
+
+private:
+    worker_state& shared;
+    std::string id;
+    int next;
+    int last;
+    int gap_ms;
+    bool cut;
+    bool half = false;
+};
+
+/// @brief A model worker of the platform, with switches for its failures.
+class platform_worker
+{
+public:
+    http::response handle(const http::request& asked)
+    {
+        if (asked.path == "/admin")
+            return this->administer(asked);
+        std::lock_guard lock(this->state.guard);
+        std::string id(asked.headers.get("Request-Id"));
+        auto target = asked.headers.get("Target-Instance");
+        if (!target.empty() && target != this->state.id)
+            return standins::json_response(421, {{"error", "another"}});
+        if (this->state.full)
+        {
+            auto answer = standins::json_response(503, {{"error", "full"}});
+            answer.headers.add("Not-Executed", "1");
+            return answer;
+        }
+        return this->run(asked, id);
+    }
+
+private:
+    http::response run(const http::request& asked, const std::string& id)
+    {
+        this->state.runs[id]++;
+        this->state.asked[id] = {{"target", asked.target},
+                                 {"body", asked.body},
+                                 {"host", asked.headers.get("Host")},
+                                 {"model", asked.headers.get("Model")},
+                                 {"deadline", asked.headers.get("Deadline-Ms")},
+                                 {"last", asked.headers.get("Last-Event-Id")}};
+        http::response answer;
+        bool crossed = this->state.crossed > 0;
+        this->state.crossed -= crossed ? 1 : 0;
+        answer.headers.add("Request-Id", crossed ? "another" : id);
+        bool unsigned_answer = this->state.unsigned_answers > 0;
+        this->state.unsigned_answers -= unsigned_answer ? 1 : 0;
+        if (!unsigned_answer)
+            answer.headers.add("Response-Signature", "signed-" + id);
+        if (asked.body == "impossible" || asked.body == "failing")
+        {
+            answer.status = asked.body == "impossible" ? 422 : 500;
+            answer.body = "no";
+            return answer;
+        }
+        int first = 1;
+        auto last = asked.headers.get("Last-Event-Id");
+        std::from_chars(last.data(), last.data() + last.size(), first);
+        first += last.empty() ? 0 : 1;
+        bool cut = this->state.cut > 0;
+        this->state.cut -= cut ? 1 : 0;
+        answer.headers.add("Content-Type", "text/event-stream");
+        answer.stream = std::make_unique<event_source>(
+            this->state, id, first, this->state.events, this->state.event_ms,
+            cut);
+        return answer;
+    }
+
+    http::response administer(const http::request& asked)
+    {
+        std::lock_guard lock(this->state.guard);
+        if (asked.method == "POST")
+        {
+            json change = json::parse(asked.body);
+            this->state.id = change.value("id", this->state.id);
+            this->state.events = change.value("events", this->state.events);
+            this->state.event_ms =
+                change.value("event_ms", this->state.event_ms);
+            this->state.cut = change.value("cut", this->state.cut);
+            this->state.unsigned_answers =
+                change.value("unsigned", this->state.unsigned_answers);
+            this->state.crossed = change.value("crossed", this->state.crossed);
+            this->state.full = change.value("full", this->state.full);
+        }
+        return standins::json_response(200, {{"runs", this->state.runs},
+                                             {"asked", this->state.asked},
+                                             {"running", this->state.running}});
+    }
+
+    worker_state state;
+};
+
+} // namespace
+
+int main(int argument_count, char** arguments)
+{
+    platform_worker served;
+    return standins::serve(argument_count, arguments,
+                           [&](const http::request& asked)
+                           { return served.handle(asked); });
+}
