forward: Wait for an endpoint instead of recursing

Ruled out: the worker stand-in. Change: it clears what it excluded and tries again after 50 ms, up to its deadline. Conclusion: a lone endpoint's cut stream is resumed.

--- a/source/forward/online_run.cpp
+++ b/source/forward/online_run.cpp
@@ -21,6 +21,8 @@
 // A refusal says to come back after about the time in which a slot frees.
 constexpr core::milliseconds least_retry_after{100};
 constexpr core::milliseconds timer_step{50};
+// Where no endpoint may be chosen, one may a few beacons later.
+constexpr core::milliseconds retry_pause{50};
 // Share of the target that may pass in an endpoint's queue; the rest is for
 // reading the prompt and the way to the caller.
 constexpr double queue_share = 0.7;
@@ -58,6 +60,7 @@
                        std::shared_ptr<http::server_exchange> exchange)
     : runtime(runtime), names(names), table(std::move(table)), route(matched),
       exchange(std::move(exchange)), timer(runtime.event_loop()),
+      retry_timer(runtime.event_loop()),
       request_id(this->exchange->asked().headers.get(names.request_id)),
       service(core::routes::select_service(matched, host::uniform())),
       arrived(host::boot_now()),
@@ -103,11 +106,25 @@
     if (this->ran == 0 && best.expected_wait + (now - this->arrived) > allowed)
         return this->refuse("overload", best.expected_wait);
     if (best.chosen == nullptr)
-        return this->on_broken("no other endpoint");
+        return this->attempt_later();
     this->displaced = best.displaces;
     this->send_to(*best.chosen);
 }
 
+void online_run::attempt_later()
+{
+    // Those that failed are asked again, rather than nobody.
+    this->excluded.clear();
+    auto self = this->shared_from_this();
+    this->retry_timer.expires_after(retry_pause);
+    this->retry_timer.async_wait(
+        [self](boost::system::error_code error)
+        {
+            if (!error && self->phase == state::waiting)
+                self->attempt();
+        });
+}
+
 http::client_request
 online_run::compose(const core::endpoints::endpoint& chosen) const
 {
@@ -372,6 +389,7 @@
     auto self = this->shared_from_this();
     this->phase = state::ended;
     this->timer.cancel();
+    this->retry_timer.cancel();
     auto now = host::boot_now();
     auto& metrics = this->runtime.metrics_recorder();
     metrics.count("hatch_requests_total", "outcome", outcome, "reason", reason);
--- a/source/forward/online_run.hpp
+++ b/source/forward/online_run.hpp
@@ -46,6 +46,7 @@
     };
 
     void attempt();
+    void attempt_later();
     void send_to(const core::endpoints::endpoint& chosen);
     http::client_request compose(const core::endpoints::endpoint& chosen) const;
     void hear_event_bytes(std::string_view piece);
@@ -69,6 +70,7 @@
     const core::routes::route& route;
     std::shared_ptr<http::server_exchange> exchange;
     boost::asio::steady_timer timer;
+    boost::asio::steady_timer retry_timer;
     std::string request_id;
     std::string service;
     core::instant arrived;
