claims: Claim requests that run once in the platform's store

Cause: claims by majority of keepers were a replicated store of the project's own, which the platform makes needless. Ruled out: keeping them beside the store. Change: a key is claimed by a conditional write bound to a lease of the window; while the store is away such calls are refused as not run; keepers, their messages, generations and hatch-ctl retire go. Conclusion: availability of such calls now is the store's.

--- a/bench/hatch_slopes.cpp
+++ b/bench/hatch_slopes.cpp
@@ -6,7 +6,6 @@
 #include <thread>
 #include <unistd.h>
 
-#include "core/claims/claim_keeper.hpp"
 #include "core/jobs/job_items.hpp"
 #include "core/jobs/journal_copy.hpp"
 #include "core/slots/slot_scheduler.hpp"
@@ -170,29 +169,6 @@
                 endpoints, cost, bytes);
 }
 
-void measure_claims(std::size_t count)
-{
-    messages::keeper_history history;
-    history.current.generation = 1;
-    for (const char* name : {"a", "b", "c"})
-        history.current.keepers.push_back({name, name, name, name});
-    core::claims::claim_options options;
-    options.capacity = count + 1;
-    core::claims::claim_keeper keeper("a", "a", options, 0ms);
-    keeper.adopt(0ms, history);
-    double before = usage_of(getpid()).resident_mb;
-    auto cost = microseconds_each(
-        count,
-        [&](std::size_t index)
-        {
-            keeper.ask(1ms, {"workspace/service/" + std::to_string(index),
-                             "0123456789abcdef0123456789abcdef", 1});
-        });
-    double after = usage_of(getpid()).resident_mb;
-    std::printf("claims %6zu: %.1f us each, %.0f bytes each\n", count, cost,
-                (after - before) * 1e6 / static_cast<double>(count));
-}
-
 void measure_jobs(std::uint32_t items)
 {
     double before = usage_of(getpid()).resident_mb;
@@ -228,8 +204,6 @@
             measure_slots(endpoints);
         for (std::uint32_t items : {94'000u, 940'000u})
             measure_jobs(items);
-        for (std::size_t claims : {100'000u, 400'000u})
-            measure_claims(claims);
         for (int count : members)
             measure_members(count);
         return 0;
--- a/source/coordinator/coordinator_node.cpp
+++ b/source/coordinator/coordinator_node.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <future>
 
-#include "core/claims/keeper_change.hpp"
 #include "core/members/rendezvous.hpp"
 #include "logging/event.hpp"
 
@@ -67,17 +66,10 @@
     {message_kind::slot_report, &coordinator_node::on_slot_report},
     {message_kind::await_yield, &coordinator_node::on_await_yield},
     {message_kind::endpoints_request, &coordinator_node::on_endpoints_request},
-    {message_kind::claim_request, &coordinator_node::on_claim_request},
-    {message_kind::claim_release, &coordinator_node::on_claim_release},
-    {message_kind::claim_copy_request,
-     &coordinator_node::on_claim_copy_request},
 };
 
 coordinator_settings read_settings(settings::document& from)
 {
-    using std::chrono::hours;
-    using std::chrono::milliseconds;
-    using std::chrono::seconds;
     coordinator_settings read;
     read.node = process::read_node(from);
     read.listen = from.address("coordinator.listen");
@@ -85,10 +77,6 @@
     read.peers = from.addresses("coordinator.peers");
     read.store = from.address("store.address");
     read.hosts = from.address("hosts.address");
-    read.claims.window = from.duration_or("claims.window", read.claims.window,
-                                          {seconds(5), hours(24)});
-    read.claims.capacity = static_cast<std::size_t>(
-        from.number_or("claims.capacity", 200'000, {100, 10'000'000}));
     read.slots.queue_limit = static_cast<std::size_t>(
         from.number_or("slots.queue_limit", 384, {1, 512}));
     read.slots.concurrency.initial = static_cast<std::uint32_t>(
@@ -116,10 +104,6 @@
                                       {}, process::random_number()),
           this->settings.peers, this->loop, peers, metrics,
           [this](const std::string& address) { this->fetch_newer(address); }),
-      keepers(core::claims::claim_keeper(this->settings.node.name, this->boot,
-                                         this->settings.claims,
-                                         control::monotonic_now()),
-              this->settings.node.name, this->loop, peers, metrics),
       slots(
           this->settings.slots, metrics,
           [this](const std::string& group, const core::slots::slot_probe& probe)
@@ -134,7 +118,6 @@
                          {
                              auto now = control::monotonic_now();
                              this->members.tick(now);
-                             this->keepers.tick(now);
                              this->choose_watchers();
                              this->metrics.set(
                                  "hatch_control_bytes",
@@ -233,14 +216,11 @@
     auto request = net::decode<messages::view_request>(frame);
     this->members.heard(control::monotonic_now(), request.sender);
     const auto& table = this->members.table();
-    const auto& history = this->keepers.state().history();
     messages::view_answer answer;
     answer.digest = table.digest();
     answer.revision = this->configuration.revision();
     if (request.known_digest != answer.digest)
         answer.members = table.all();
-    if (request.known_generation != history.current.generation)
-        answer.keepers = history;
     reply.send(net::encode(answer));
 }
 
@@ -248,13 +228,10 @@
                                                 net::reply_handle& reply)
 {
     auto request = net::decode<messages::configuration_request>(frame);
-    const auto& history = this->keepers.state().history();
     messages::configuration_answer answer;
     answer.revision = this->configuration.revision();
     if (answer.revision > request.above_revision)
         answer.text = this->configuration.text();
-    if (history.current.generation > request.above_generation)
-        answer.keepers = history;
     reply.send(net::encode(answer));
 }
 
@@ -265,7 +242,6 @@
     messages::status_answer answer;
     answer.name = this->settings.node.name;
     answer.revision = this->configuration.revision();
-    answer.generation = this->keepers.state().history().current.generation;
     answer.store_reachable = this->watcher.reachable();
     answer.members = this->members.everyone();
     if (request.with_endpoints)
@@ -302,30 +278,7 @@
     this->slots.endpoints(request, std::move(reply));
 }
 
-void coordinator_node::on_claim_request(std::string_view frame,
-                                        net::reply_handle& reply)
-{
-    auto request = net::decode<messages::claim_request>(frame);
-    reply.send(
-        net::encode(this->keepers.ask(control::monotonic_now(), request)));
-}
-
-void coordinator_node::on_claim_release(std::string_view frame,
-                                        net::reply_handle&)
-{
-    this->keepers.release(net::decode<messages::claim_release>(frame));
-}
-
-void coordinator_node::on_claim_copy_request(std::string_view frame,
-                                             net::reply_handle& reply)
-{
-    auto request = net::decode<messages::claim_copy_request>(frame);
-    reply.send(
-        net::encode(this->keepers.copy(control::monotonic_now(), request)));
-}
-
-void coordinator_node::adopt(std::uint64_t revision, std::string_view text,
-                             const messages::keeper_history& history)
+void coordinator_node::adopt(std::uint64_t revision, std::string_view text)
 {
     if (!text.empty() && this->configuration.adopt(revision, text))
     {
@@ -334,52 +287,12 @@
         this->metrics.set("hatch_configuration_revision",
                           static_cast<double>(revision));
     }
-    if (history.current.generation > 0)
-        this->keepers.adopt(history);
-    this->members.set_versions(
-        this->configuration.revision(),
-        this->keepers.state().history().current.generation);
+    this->members.set_revision(this->configuration.revision());
 }
 
 void coordinator_node::found_configuration(const stored_configuration& value)
 {
-    this->loop.post([this, value]
-                    { this->adopt(value.revision, value.text, {}); });
-}
-
-void coordinator_node::found_keepers(const messages::keeper_history& value)
-{
-    this->loop.post([this, value] { this->adopt(0, {}, value); });
-}
-
-messages::keeper_history
-coordinator_node::wanted_keepers(const messages::keeper_history& stored)
-{
-    // Nodes that start together are given time to hear of each other, so that
-    // one change of generation adds them all.
-    if (since_boot() < join_delay)
-        return {};
-    std::promise<messages::keeper_history> decided;
-    this->loop.post(
-        [&]
-        {
-            const auto& known = this->keepers.state().history();
-            const auto& base =
-                known.current.generation > stored.current.generation ? known
-                                                                     : stored;
-            auto added =
-                core::claims::keepers_to_add(base, this->members.table().all());
-            bool full = base.earlier.size() >= core::claims::history_limit;
-            auto now = control::monotonic_now();
-            auto may_drop = [&](const messages::keeper_set& set)
-            { return this->keepers.state().may_drop(now, set); };
-            if (added.empty() || full)
-                decided.set_value({});
-            else
-                decided.set_value(core::claims::with_keepers(
-                    base, added, control::unix_now_ms(), may_drop));
-        });
-    return decided.get_future().get();
+    this->loop.post([this, value] { this->adopt(value.revision, value.text); });
 }
 
 void coordinator_node::fetch_newer(const std::string& address)
@@ -387,24 +300,21 @@
     if (this->fetching)
         return;
     this->fetching = true;
-    messages::configuration_request request{
-        this->configuration.revision(),
-        this->keepers.state().history().current.generation};
-    this->peers.post(address, net::encode(request), fetch_limit,
-                     [this](std::optional<std::string> frame)
-                     {
-                         auto answer =
-                             net::decode_answer<messages::configuration_answer>(
-                                 frame);
-                         this->loop.post(
-                             [this, answer]
-                             {
-                                 this->fetching = false;
-                                 if (answer)
-                                     this->adopt(answer->revision, answer->text,
-                                                 answer->keepers);
-                             });
-                     });
+    messages::configuration_request request{this->configuration.revision()};
+    this->peers.post(
+        address, net::encode(request), fetch_limit,
+        [this](std::optional<std::string> frame)
+        {
+            auto answer =
+                net::decode_answer<messages::configuration_answer>(frame);
+            this->loop.post(
+                [this, answer]
+                {
+                    this->fetching = false;
+                    if (answer)
+                        this->adopt(answer->revision, answer->text);
+                });
+        });
 }
 
 void coordinator_node::choose_watchers()
--- a/source/coordinator/coordinator_node.hpp
+++ b/source/coordinator/coordinator_node.hpp
@@ -7,7 +7,6 @@
 
 #include "control/control_loop.hpp"
 #include "control/worker_pool.hpp"
-#include "coordinator/keeper_service.hpp"
 #include "coordinator/member_service.hpp"
 #include "coordinator/shared_watcher.hpp"
 #include "coordinator/slot_service.hpp"
@@ -33,14 +32,13 @@
     std::vector<std::string> peers;
     std::string store;
     std::string hosts;
-    core::claims::claim_options claims;
     core::slots::scheduler_options slots;
 };
 
 /// @brief Reads and checks a coordinator's settings file.
 coordinator_settings read_settings(settings::document& from);
 
-/// @brief A coordinator process: membership, configuration, slots and claims.
+/// @brief A coordinator process: membership, configuration and slots.
 class coordinator_node : private shared_state_owner
 {
 public:
@@ -78,18 +76,8 @@
     void on_slot_report(std::string_view frame, net::reply_handle& reply);
     void on_await_yield(std::string_view frame, net::reply_handle& reply);
     void on_endpoints_request(std::string_view frame, net::reply_handle& reply);
-    void on_claim_request(std::string_view frame, net::reply_handle& reply);
-    void on_claim_release(std::string_view frame, net::reply_handle& reply);
-    void on_claim_copy_request(std::string_view frame,
-                               net::reply_handle& reply);
-
     void found_configuration(const stored_configuration& value) override;
-    void found_keepers(const core::messages::keeper_history& value) override;
-    core::messages::keeper_history
-    wanted_keepers(const core::messages::keeper_history& stored) override;
-
-    void adopt(std::uint64_t revision, std::string_view text,
-               const core::messages::keeper_history& keepers);
+    void adopt(std::uint64_t revision, std::string_view text);
     void fetch_newer(const std::string& address);
     void choose_watchers();
     std::uint64_t server_bytes() const;
@@ -109,7 +97,6 @@
     control::control_loop loop;
     core::configuration::revision_register configuration;
     member_service members;
-    keeper_service keepers;
     slot_service slots;
     shared_watcher watcher;
     control::worker_pool probes;
--- a/source/coordinator/member_service.cpp
+++ b/source/coordinator/member_service.cpp
@@ -36,7 +36,6 @@
 {
     messages::ping request;
     request.sender = this->members.self();
-    request.generation = this->generation;
     request.news = this->members.take_news();
     return request;
 }
@@ -49,13 +48,11 @@
         known = known || one.name == request.sender.name;
     this->members.heard(now, request.sender);
     this->members.merge(now, request.news);
-    bool behind = request.sender.revision > this->revision ||
-                  request.generation > this->generation;
+    bool behind = request.sender.revision > this->revision;
     if (behind)
         this->newer(request.sender.address);
     messages::pong answer;
     answer.revision = this->revision;
-    answer.generation = this->generation;
     // A newcomer gets the whole view at once; at the target's size that is
     // some 60 KB, once for each start of a node.
     answer.news = known ? this->members.take_news() : this->members.all();
@@ -190,8 +187,7 @@
                                const messages::pong& answer)
 {
     this->members.merge(now, answer.news);
-    if (answer.revision > this->revision ||
-        answer.generation > this->generation)
+    if (answer.revision > this->revision)
         this->newer(address);
 }
 
@@ -219,11 +215,9 @@
     }
 }
 
-void member_service::set_versions(std::uint64_t new_revision,
-                                  std::uint64_t new_generation)
+void member_service::set_revision(std::uint64_t new_revision)
 {
     this->revision = new_revision;
-    this->generation = new_generation;
     this->members.set_revision(new_revision);
 }
 
--- a/source/coordinator/member_service.hpp
+++ b/source/coordinator/member_service.hpp
@@ -45,7 +45,7 @@
     /// @brief Tells every member it can reach that this node leaves.
     void leave();
 
-    void set_versions(std::uint64_t revision, std::uint64_t generation);
+    void set_revision(std::uint64_t revision);
 
     const core::members::member_table& table() const { return this->members; }
 
@@ -75,7 +75,6 @@
     metrics::registry& metrics;
     newer_handler newer;
     std::uint64_t revision = 0;
-    std::uint64_t generation = 0;
     std::map<std::string, asker, std::less<>> askers;
 };
 
--- a/source/coordinator/shared_state.hpp
+++ b/source/coordinator/shared_state.hpp
@@ -4,18 +4,13 @@
 #include <string>
 #include <string_view>
 
-#include "core/messages/members.hpp"
-
 namespace amaranthhatch::coordinator
 {
 
 /// @brief The key of the operators' declarations in the platform's service.
 constexpr std::string_view configuration_key = "shared/configuration";
 
-/// @brief The key of the keepers' generation in the platform's service.
-constexpr std::string_view keepers_key = "shared/keepers";
-
-/// @brief Both keys lie below this prefix, so that one watch serves them.
+/// @brief The prefix that is watched.
 constexpr std::string_view shared_prefix = "shared/";
 
 /// @brief The stored form of one revision of the declarations.
@@ -31,8 +26,4 @@
 std::string write_configuration(const stored_configuration& value);
 std::optional<stored_configuration> read_configuration(std::string_view text);
 
-std::string write_keepers(const core::messages::keeper_history& value);
-std::optional<core::messages::keeper_history>
-read_keepers(std::string_view text);
-
 } // namespace amaranthhatch::coordinator
--- a/source/coordinator/shared_watcher.cpp
+++ b/source/coordinator/shared_watcher.cpp
@@ -53,7 +53,6 @@
         if (!watch)
         {
             this->sleep(idle_pause);
-            this->add_keepers();
             continue;
         }
         auto changes =
@@ -73,42 +72,15 @@
         this->seen_revision = changes.revision;
         for (const auto& entry : changes.entries)
             this->take(entry);
-        this->add_keepers();
     }
 }
 
 void shared_watcher::take(const platform::store_entry& entry)
 {
-    if (entry.key == configuration_key)
-    {
-        if (auto value = read_configuration(entry.value))
-            this->owner.found_configuration(*value);
-    }
-    else if (entry.key == keepers_key)
-    {
-        if (auto value = read_keepers(entry.value))
-        {
-            this->keepers_entry = entry;
-            this->owner.found_keepers(*value);
-        }
-    }
-}
-
-void shared_watcher::add_keepers()
-{
-    core::messages::keeper_history stored;
-    if (auto value = read_keepers(this->keepers_entry.value))
-        stored = *value;
-    auto wanted = this->owner.wanted_keepers(stored);
-    if (wanted.current.generation == 0)
+    if (entry.key != configuration_key)
         return;
-    auto answer = platform::write_resolved(this->store, keepers_key,
-                                           write_keepers(wanted),
-                                           this->keepers_entry.version);
-    bool told = answer.result == platform::store_result::done ||
-                answer.result == platform::store_result::conflict;
-    if (told)
-        this->take(answer.entry);
+    if (auto value = read_configuration(entry.value))
+        this->owner.found_configuration(*value);
 }
 
 } // namespace amaranthhatch::coordinator
--- a/source/coordinator/shared_watcher.hpp
+++ b/source/coordinator/shared_watcher.hpp
@@ -8,7 +8,6 @@
 #include <vector>
 
 #include "coordinator/shared_state.hpp"
-#include "core/messages/members.hpp"
 #include "platform/key_value_store.hpp"
 
 namespace amaranthhatch::coordinator
@@ -21,18 +20,12 @@
     virtual ~shared_state_owner() = default;
 
     virtual void found_configuration(const stored_configuration& value) = 0;
-    virtual void found_keepers(const core::messages::keeper_history& value) = 0;
-
-    /// @brief The history to write where keepers have to be added, else one
-    /// with generation zero.
-    virtual core::messages::keeper_history
-    wanted_keepers(const core::messages::keeper_history& stored) = 0;
 };
 
-/// @brief Watches the configuration and the keepers in the platform's service.
+/// @brief Watches the configuration in the platform's service.
 ///
-/// Only a few nodes of each zone watch; every node reads once at its start and
-/// writes when keepers have to be added. In an outage it tries on, slowly.
+/// Only a few nodes of each zone watch; every node reads once at its start. In
+/// an outage it tries on, slowly.
 class shared_watcher
 {
 public:
@@ -49,7 +42,6 @@
 private:
     void run();
     void take(const platform::store_entry& entry);
-    void add_keepers();
     void sleep(std::chrono::milliseconds time) const;
 
     platform::key_value_store& store;
@@ -58,7 +50,6 @@
     std::atomic<bool> stopping{false};
     std::atomic<bool> store_reachable{false};
     std::uint64_t seen_revision = 0;
-    platform::store_entry keepers_entry;
     std::thread thread;
 };
 
--- a/source/core/members/rendezvous.cpp
+++ b/source/core/members/rendezvous.cpp
@@ -11,8 +11,6 @@
 namespace
 {
 
-constexpr std::size_t keepers_per_key = 3;
-
 template <typename Named>
 std::vector<Named> order(std::string_view key, std::span<const Named> all)
 {
@@ -29,12 +27,6 @@
     return ordered;
 }
 
-bool holds_zone(std::span<const messages::keeper> chosen, std::string_view zone)
-{
-    return std::any_of(chosen.begin(), chosen.end(),
-                       [&](const auto& one) { return one.zone == zone; });
-}
-
 } // namespace
 
 std::vector<messages::member>
@@ -64,25 +56,4 @@
     return ordered;
 }
 
-std::vector<messages::keeper> keepers_of(std::string_view key,
-                                         const messages::keeper_set& keepers)
-{
-    auto ordered = order<messages::keeper>(key, keepers.keepers);
-    std::vector<messages::keeper> chosen;
-    for (const auto& one : ordered)
-    {
-        if (chosen.size() < keepers_per_key && !holds_zone(chosen, one.zone))
-            chosen.push_back(one);
-    }
-    // Fewer zones than keepers: the rest come in hash order from any zone.
-    for (const auto& one : ordered)
-    {
-        bool taken =
-            std::find(chosen.begin(), chosen.end(), one) != chosen.end();
-        if (chosen.size() < keepers_per_key && !taken)
-            chosen.push_back(one);
-    }
-    return chosen;
-}
-
 } // namespace amaranthhatch::core::members
--- a/source/core/members/rendezvous.hpp
+++ b/source/core/members/rendezvous.hpp
@@ -25,8 +25,4 @@
 homes_of(std::string_view group, std::string_view region,
          std::span<const messages::member> members);
 
-/// @brief The keepers of a claim key: up to three, spread over zones.
-std::vector<messages::keeper> keepers_of(std::string_view key,
-                                         const messages::keeper_set& keepers);
-
 } // namespace amaranthhatch::core::members
--- a/source/core/messages/members.hpp
+++ b/source/core/messages/members.hpp
@@ -48,37 +48,6 @@
     }
 };
 
-/// @brief A keeper of request claims, fixed for one generation.
-struct keeper
-{
-    std::string name;
-    std::string zone;
-    std::string address;
-    std::string boot;
-
-    auto fields() { return std::tie(name, zone, address, boot); }
-    bool operator==(const keeper&) const = default;
-};
-
-/// @brief The keepers of one generation.
-struct keeper_set
-{
-    std::uint64_t generation = 0;
-    std::int64_t settled_unix_ms = 0;
-    std::vector<keeper> keepers;
-
-    auto fields() { return std::tie(generation, settled_unix_ms, keepers); }
-};
-
-/// @brief The current generation and those still inside the claim window.
-struct keeper_history
-{
-    keeper_set current;
-    std::vector<keeper_set> earlier;
-
-    auto fields() { return std::tie(current, earlier); }
-};
-
 /// @brief A liveness probe, with news about members.
 struct ping
 {
@@ -86,10 +55,9 @@
 
     member sender;
     std::string target;
-    std::uint64_t generation = 0;
     std::vector<member> news;
 
-    auto fields() { return std::tie(sender, target, generation, news); }
+    auto fields() { return std::tie(sender, target, news); }
 };
 
 /// @brief The answer to a probe.
@@ -99,10 +67,9 @@
 
     bool reached = true;
     std::uint64_t revision = 0;
-    std::uint64_t generation = 0;
     std::vector<member> news;
 
-    auto fields() { return std::tie(reached, revision, generation, news); }
+    auto fields() { return std::tie(reached, revision, news); }
 };
 
 /// @brief Asks a third member to probe a target that did not answer.
@@ -123,9 +90,8 @@
 
     member sender;
     std::uint64_t known_digest = 0;
-    std::uint64_t known_generation = 0;
 
-    auto fields() { return std::tie(sender, known_digest, known_generation); }
+    auto fields() { return std::tie(sender, known_digest); }
 };
 
 /// @brief The member view; the lists are empty where the asker knows them.
@@ -136,20 +102,18 @@
     std::uint64_t digest = 0;
     std::uint64_t revision = 0;
     std::vector<member> members;
-    keeper_history keepers;
 
-    auto fields() { return std::tie(digest, revision, members, keepers); }
+    auto fields() { return std::tie(digest, revision, members); }
 };
 
-/// @brief Asks for the configuration in force and the keepers' generation.
+/// @brief Asks for the configuration in force.
 struct configuration_request
 {
     static constexpr auto kind_of_message = message_kind::configuration_request;
 
     std::uint64_t above_revision = 0;
-    std::uint64_t above_generation = 0;
 
-    auto fields() { return std::tie(above_revision, above_generation); }
+    auto fields() { return std::tie(above_revision); }
 };
 
 /// @brief The configuration's text; empty where none is newer.
@@ -159,9 +123,8 @@
 
     std::uint64_t revision = 0;
     std::string text;
-    keeper_history keepers;
 
-    auto fields() { return std::tie(revision, text, keepers); }
+    auto fields() { return std::tie(revision, text); }
 };
 
 /// @brief Asks a coordinator what it knows, for the operator's tool.
@@ -198,15 +161,13 @@
 
     std::string name;
     std::uint64_t revision = 0;
-    std::uint64_t generation = 0;
     bool store_reachable = false;
     std::vector<member> members;
     std::vector<endpoint_status> endpoints;
 
     auto fields()
     {
-        return std::tie(name, revision, generation, store_reachable, members,
-                        endpoints);
+        return std::tie(name, revision, store_reachable, members, endpoints);
     }
 };
 
--- a/source/core/outcome.cpp
+++ b/source/core/outcome.cpp
@@ -9,28 +9,11 @@
 constexpr std::string_view outcome_names[] = {"done", "not_run", "unknown"};
 
 constexpr std::string_view refusal_names[] = {
-    "none",
-    "bad_request",
-    "unknown_model",
-    "unknown_service",
-    "unknown_class",
-    "not_configured",
-    "draining",
-    "queue_full",
-    "no_endpoint",
-    "deadline_passed",
-    "no_coordinator",
-    "claim_taken",
-    "claim_no_majority",
-    "claims_full",
-    "connect_failed",
-    "endpoint_failed",
-    "stream_cut",
-    "store_unreachable",
-    "no_second_copy",
-    "not_doable",
-    "moved",
-    "unknown_job",
+    "none",           "bad_request",     "unknown_model",  "unknown_service",
+    "unknown_class",  "not_configured",  "draining",       "queue_full",
+    "no_endpoint",    "deadline_passed", "no_coordinator", "claim_taken",
+    "connect_failed", "endpoint_failed", "stream_cut",     "store_unreachable",
+    "no_second_copy", "not_doable",      "moved",          "unknown_job",
 };
 
 static_assert(std::size(refusal_names) ==
--- a/source/core/outcome.hpp
+++ b/source/core/outcome.hpp
@@ -32,8 +32,6 @@
     deadline_passed,
     no_coordinator,
     claim_taken,
-    claim_no_majority,
-    claims_full,
     connect_failed,
     endpoint_failed,
     stream_cut,
--- a/source/entry/entry_node.cpp
+++ b/source/entry/entry_node.cpp
@@ -53,9 +53,9 @@
                                          {milliseconds(0), minutes(5)});
     read.drain_limit = from.duration_or("entry.drain_limit", minutes(2),
                                         {seconds(1), minutes(60)});
-    read.claim_ask_limit =
-        from.duration_or("entry.claim_ask_limit", milliseconds(500),
-                         {milliseconds(50), milliseconds(600)});
+    read.store = from.address("store.address");
+    read.claim_window = from.duration_or("entry.claim_window", minutes(10),
+                                         {seconds(5), minutes(24 * 60)});
     read.hedge_share =
         per_cent *
         static_cast<double>(from.number_or("entry.hedge_percent", 4, percent));
@@ -76,6 +76,7 @@
 }
 
 entry_node::entry_node(entry_settings settings, platform::model_engine& engine,
+                       platform::key_value_store& store,
                        metrics::registry& metrics, net::rpc_client& peers)
     : settings(std::move(settings)), metrics(metrics),
       view(own_member(this->settings.node, this->settings.listen),
@@ -93,7 +94,7 @@
       cancels(engine), hedges(this->settings.hedge_share, budget_burst),
       retries(this->settings.retry_share, budget_burst),
       moves(this->settings.move_share, move_burst),
-      claims(this->settings.claim_ask_limit, this->view, peers, metrics),
+      claims(store, this->settings.claim_window, metrics),
       completions({engine, this->slots, this->cancels, this->hedges,
                    this->retries, this->moves, metrics},
                   this->view, this->limits, metrics),
--- a/source/entry/entry_node.hpp
+++ b/source/entry/entry_node.hpp
@@ -34,7 +34,8 @@
     unsigned connection_limit = 0;
     core::milliseconds drain_notice{};
     core::milliseconds drain_limit{};
-    core::milliseconds claim_ask_limit{};
+    std::string store;
+    core::milliseconds claim_window{};
     double hedge_share = 0;
     double retry_share = 0;
     double move_share = 0;
@@ -49,7 +50,8 @@
 {
 public:
     entry_node(entry_settings settings, platform::model_engine& engine,
-               metrics::registry& metrics, net::rpc_client& peers);
+               platform::key_value_store& store, metrics::registry& metrics,
+               net::rpc_client& peers);
 
     void start();
 
--- a/source/entry/refusal_response.cpp
+++ b/source/entry/refusal_response.cpp
@@ -47,12 +47,6 @@
     {refusal::claim_taken, 409, "conflict_error",
      "Another call with this Idempotency-Key was let through; it may have "
      "run. Look at its effect before you use a new key."},
-    {refusal::claim_no_majority, 503, "server_error",
-     "Too few keepers could vote on this Idempotency-Key; send it again with "
-     "the same key."},
-    {refusal::claims_full, 503, "server_error",
-     "Too many Idempotency-Keys are remembered; send it again with the same "
-     "key after Retry-After."},
     {refusal::connect_failed, 502, "server_error",
      "No endpoint took the connection; send it again."},
     {refusal::endpoint_failed, 502, "server_error",
@@ -60,7 +54,7 @@
     {refusal::stream_cut, 502, "server_error",
      "The endpoint's answer broke off; send it again if it may run twice."},
     {refusal::store_unreachable, 503, "server_error",
-     "The platform's key-value service is away; send the job again with the "
+     "The platform's key-value service is away; send this again with the "
      "same Idempotency-Key."},
     {refusal::no_second_copy, 503, "server_error",
      "No second batch host can be reached; send it again with the same "
--- a/source/entry/service_handler.cpp
+++ b/source/entry/service_handler.cpp
@@ -12,7 +12,7 @@
 
 using core::outcome;
 using core::refusal;
-using core::claims::vote_state;
+using routing::claim_state;
 
 constexpr std::string_view services_prefix = "/services/";
 constexpr unsigned repeat_limit = 3;
@@ -25,19 +25,6 @@
 constexpr std::string_view returned_headers[] = {"Content-Type", "Retry-After",
                                                  "ETag", "Location"};
 
-refusal reason_of(vote_state state)
-{
-    switch (state)
-    {
-    case vote_state::taken:
-        return refusal::claim_taken;
-    case vote_state::full:
-        return refusal::claims_full;
-    default:
-        return refusal::claim_no_majority;
-    }
-}
-
 http::response pass_on(const http::reply& reply)
 {
     http::response answer;
@@ -140,14 +127,17 @@
     std::string claim_key =
         std::string(call.asked.headers.get("X-Hatch-Workspace")) + "/" +
         call.service.name + "/" + key;
-    auto [vote, attempt] = this->claims.claim(claim_key);
-    if (vote != vote_state::granted)
+    auto held = this->claims.claim(claim_key);
+    if (held.state != claim_state::granted)
     {
         this->slots.release(got.slot, false, {});
         // Whoever holds the key may have run it; this call did not.
-        auto known =
-            vote == vote_state::taken ? outcome::unknown : outcome::not_run;
-        return this->refuse({reason_of(vote), known, call.key, {}});
+        bool taken = held.state == claim_state::taken;
+        return this->refuse(
+            {taken ? refusal::claim_taken : refusal::store_unreachable,
+             taken ? outcome::unknown : outcome::not_run,
+             call.key,
+             {}});
     }
     http::reply reply = this->send(call, got.slot);
     this->slots.release(got.slot, reply.reached != http::progress::answered,
@@ -156,7 +146,7 @@
         return pass_on(reply);
     if (reply.reached == http::progress::not_sent)
     {
-        this->claims.release(claim_key, attempt);
+        this->claims.release(claim_key, held);
         return this->refuse(
             {refusal::connect_failed, outcome::not_run, reply.detail, {}});
     }
--- a/source/net/codec.cpp
+++ b/source/net/codec.cpp
@@ -80,8 +80,6 @@
 template <>
 constexpr std::uint64_t enum_limit<messages::work_kind> = 1;
 template <>
-constexpr std::uint64_t enum_limit<messages::claim_verdict> = 4;
-template <>
 constexpr std::uint64_t enum_limit<messages::record_kind> = 4;
 template <>
 constexpr std::uint64_t enum_limit<messages::job_state> = 5;
@@ -216,11 +214,6 @@
 HATCH_INSTANTIATE(yield_answer)
 HATCH_INSTANTIATE(endpoints_request)
 HATCH_INSTANTIATE(endpoints_answer)
-HATCH_INSTANTIATE(claim_request)
-HATCH_INSTANTIATE(claim_answer)
-HATCH_INSTANTIATE(claim_release)
-HATCH_INSTANTIATE(claim_copy_request)
-HATCH_INSTANTIATE(claim_copy_answer)
 HATCH_INSTANTIATE(file_put)
 HATCH_INSTANTIATE(stored_answer)
 HATCH_INSTANTIATE(file_get)
--- a/source/net/codec.hpp
+++ b/source/net/codec.hpp
@@ -5,7 +5,6 @@
 #include <string>
 #include <string_view>
 
-#include "core/messages/claims.hpp"
 #include "core/messages/jobs.hpp"
 #include "core/messages/members.hpp"
 #include "core/messages/slots.hpp"
--- a/source/operators/control_tool.cpp
+++ b/source/operators/control_tool.cpp
@@ -10,7 +10,6 @@
 
 #include "configuration/parse.hpp"
 #include "control/control_loop.hpp"
-#include "core/claims/keeper_change.hpp"
 #include "errors/failure.hpp"
 #include "net/codec.hpp"
 #include "process/program.hpp"
@@ -247,8 +246,7 @@
     for (const auto& answer : answers)
     {
         this->out << "coordinator " << answer.name << ": revision "
-                  << answer.revision << ", keepers' generation "
-                  << answer.generation << ", store "
+                  << answer.revision << ", store "
                   << (answer.store_reachable ? "reachable" : "away") << "\n";
         for (const auto& one : answer.members)
         {
@@ -318,30 +316,4 @@
     return exit_done;
 }
 
-int control_tool::retire(const std::string& keeper)
-{
-    auto answer = this->store.read(coordinator::keepers_key);
-    auto history = coordinator::read_keepers(answer.entry.value);
-    if (answer.result != store_result::done || !history)
-    {
-        this->out << "not retired: the platform's key-value service is away; "
-                     "try again\n";
-        return exit_failed;
-    }
-    auto changed =
-        core::claims::without_keeper(*history, keeper, control::unix_now_ms());
-    if (changed.current.keepers.size() == history->current.keepers.size())
-    {
-        this->out << keeper << " is no keeper\n";
-        return exit_failed;
-    }
-    auto written = platform::write_resolved(
-        this->store, coordinator::keepers_key,
-        coordinator::write_keepers(changed), answer.entry.version);
-    bool done = written.result == store_result::done;
-    this->out << (done ? "retired: " : "not retired, try again: ") << keeper
-              << "\n";
-    return done ? exit_done : exit_failed;
-}
-
 } // namespace amaranthhatch::operators
--- a/source/operators/control_tool.hpp
+++ b/source/operators/control_tool.hpp
@@ -30,7 +30,6 @@
               std::chrono::milliseconds wait);
     int status();
     int jobs(const std::string& workspace);
-    int retire(const std::string& keeper);
 
 private:
     struct current_configuration
--- a/source/platform/http_key_value_store.cpp
+++ b/source/platform/http_key_value_store.cpp
@@ -88,12 +88,15 @@
 
 store_answer http_key_value_store::write(std::string_view key,
                                          std::string_view value,
-                                         std::uint64_t expected_version)
+                                         std::uint64_t expected_version,
+                                         std::chrono::milliseconds time_to_live)
 {
     http::call asked;
     asked.method = "PUT";
     asked.url = "http://" + this->address + "/v1/kv/" + std::string(key) +
                 "?version=" + std::to_string(expected_version);
+    if (time_to_live.count() > 0)
+        asked.url += "&ttl_ms=" + std::to_string(time_to_live.count());
     asked.body = value;
     asked.connect_limit = connect_limit;
     asked.total_limit = call_limit;
--- a/source/platform/http_key_value_store.hpp
+++ b/source/platform/http_key_value_store.hpp
@@ -18,7 +18,8 @@
 
     store_answer read(std::string_view key) override;
     store_answer write(std::string_view key, std::string_view value,
-                       std::uint64_t expected_version) override;
+                       std::uint64_t expected_version,
+                       std::chrono::milliseconds time_to_live = {}) override;
     store_changes watch(std::string_view prefix, std::uint64_t after_revision,
                         std::chrono::milliseconds wait) override;
 
--- a/source/platform/key_value_store.cpp
+++ b/source/platform/key_value_store.cpp
@@ -5,10 +5,12 @@
 
 store_answer write_resolved(key_value_store& store, std::string_view key,
                             std::string_view value,
-                            std::uint64_t expected_version)
+                            std::uint64_t expected_version,
+                            std::chrono::milliseconds time_to_live)
 {
     constexpr int read_tries = 3;
-    store_answer written = store.write(key, value, expected_version);
+    store_answer written =
+        store.write(key, value, expected_version, time_to_live);
     if (written.result != store_result::unknown)
         return written;
     for (int attempt = 0; attempt < read_tries; ++attempt)
--- a/source/platform/key_value_store.hpp
+++ b/source/platform/key_value_store.hpp
@@ -53,8 +53,11 @@
     virtual store_answer read(std::string_view key) = 0;
 
     /// @brief Writes where the key still has the expected version.
+    ///
+    /// With a time to live the key is removed after it; 0 keeps it for good.
     virtual store_answer write(std::string_view key, std::string_view value,
-                               std::uint64_t expected_version) = 0;
+                               std::uint64_t expected_version,
+                               std::chrono::milliseconds time_to_live = {}) = 0;
 
     /// @brief Waits for changes below a prefix, up to a time limit.
     virtual store_changes watch(std::string_view prefix,
@@ -69,6 +72,7 @@
 /// unknown only where reading back failed too.
 store_answer write_resolved(key_value_store& store, std::string_view key,
                             std::string_view value,
-                            std::uint64_t expected_version);
+                            std::uint64_t expected_version,
+                            std::chrono::milliseconds time_to_live = {});
 
 } // namespace amaranthhatch::platform
--- a/source/programs/hatch_ctl.cpp
+++ b/source/programs/hatch_ctl.cpp
@@ -21,7 +21,6 @@
     "  apply FILE      put declarations in force; --wait 11000 waits for it\n"
     "  status          members, revisions, busy endpoints\n"
     "  jobs            batch jobs of all batch hosts\n"
-    "  retire NAME     take a keeper that is gone for good off the list\n"
     "Hosts are drained by sending SIGTERM to their programs.\n";
 
 int run(const cxxopts::ParseResult& parsed)
@@ -57,8 +56,6 @@
         return tool.status();
     if (command == "jobs")
         return tool.jobs(argument);
-    if (command == "retire")
-        return tool.retire(argument);
     std::cerr << "hatch-ctl: no command \"" << command << "\"; see --help\n";
     return exit_usage;
 }
--- a/source/programs/hatch_entry.cpp
+++ b/source/programs/hatch_entry.cpp
@@ -1,5 +1,6 @@
 #include "entry/entry_node.hpp"
 #include "logging/event.hpp"
+#include "platform/http_key_value_store.hpp"
 #include "platform/http_model_engine.hpp"
 #include "process/program.hpp"
 
@@ -16,8 +17,9 @@
     logging::start("hatch-entry", settings.node.name);
     metrics::registry metrics(settings.metrics);
     platform::http_model_engine engine;
+    platform::http_key_value_store store(settings.store);
     net::rpc_client peers;
-    entry::entry_node node(settings, engine, metrics, peers);
+    entry::entry_node node(settings, engine, store, metrics, peers);
     node.start();
     process::wait_for_stop();
     bool whole = node.drain();
--- a/source/routing/claim_client.hpp
+++ b/source/routing/claim_client.hpp
@@ -1,51 +1,51 @@
 #pragma once
 
+#include <chrono>
+#include <cstdint>
 #include <string>
 
-#include "core/claims/claim_vote.hpp"
-#include "core/instant.hpp"
 #include "metrics/registry.hpp"
-#include "net/rpc_client.hpp"
-#include "routing/view_client.hpp"
+#include "platform/key_value_store.hpp"
 
 namespace amaranthhatch::routing
 {
 
-/// @brief How a claim ended, and the attempt that holds the key if any.
+/// @brief How a claim ended.
+enum class claim_state : std::uint8_t
+{
+    granted,
+    /// Another call holds the key and may have run.
+    taken,
+    /// The store can't say; nothing may be sent.
+    unreachable
+};
+
+/// @brief A granted key with the version to give it back under.
 struct claim_result
 {
-    core::claims::vote_state state = core::claims::vote_state::no_majority;
-    std::string attempt;
+    claim_state state = claim_state::unreachable;
+    std::uint64_t version = 0;
 };
 
 /// @brief Claims the keys of requests that may run at most once.
+///
+/// Claims lie in the platform's key-value service, bound to a lease of the
+/// claim window. While the service is away no such request is sent.
 class claim_client
 {
 public:
-    claim_client(core::milliseconds ask_limit, view_client& view,
-                 net::rpc_client& peers, metrics::registry& metrics);
+    claim_client(platform::key_value_store& store,
+                 std::chrono::milliseconds window, metrics::registry& metrics);
 
-    /// @brief Asks the key's keepers, a few times where votes are split.
-    ///
-    /// Only after granted may the request be sent, at once. After any other
-    /// result it must not be sent; all grants are given back.
+    /// @brief Claims a key; only after granted may the request be sent.
     claim_result claim(const std::string& key);
 
     /// @brief Gives a claim back under which no byte was sent.
-    void release(const std::string& key, const std::string& attempt);
+    void release(const std::string& key, const claim_result& held);
 
 private:
-    struct ask_result
-    {
-        core::claims::vote_state state;
-        bool other_may_hold;
-    };
-
-    ask_result ask_once(const std::string& key, const std::string& attempt);
-
-    core::milliseconds ask_limit;
-    view_client& view;
-    net::rpc_client& peers;
+    platform::key_value_store& store;
+    std::chrono::milliseconds window;
     metrics::registry& metrics;
 };
 
--- a/source/routing/view_client.cpp
+++ b/source/routing/view_client.cpp
@@ -122,7 +122,6 @@
     request.sender = this->self;
     request.sender.revision = this->configuration.revision();
     request.known_digest = address == this->digest_of ? this->digest : 0;
-    request.known_generation = this->building.keepers.current.generation;
     auto answer = net::decode_answer<messages::view_answer>(
         this->peers.ask(address, net::encode(request), ask_limit));
     if (!answer)
@@ -136,12 +135,6 @@
         this->refute(answer->members);
         changed = true;
     }
-    if (answer->keepers.current.generation >
-        this->building.keepers.current.generation)
-    {
-        this->building.keepers = answer->keepers;
-        changed = true;
-    }
     if (answer->revision > this->configuration.revision())
     {
         this->fetch_configuration(address);
@@ -167,7 +160,7 @@
 
 void view_client::fetch_configuration(const std::string& address)
 {
-    messages::configuration_request request{this->configuration.revision(), 0};
+    messages::configuration_request request{this->configuration.revision()};
     auto answer = net::decode_answer<messages::configuration_answer>(
         this->peers.ask(address, net::encode(request), fetch_limit));
     if (!answer || answer->text.empty())
--- a/source/routing/view_client.hpp
+++ b/source/routing/view_client.hpp
@@ -22,7 +22,6 @@
 struct fleet_view
 {
     std::vector<core::messages::member> members;
-    core::messages::keeper_history keepers;
     std::uint64_t revision = 0;
     core::configuration::declarations declared;
 
@@ -50,7 +49,7 @@
     /// @brief The newest view; never null.
     std::shared_ptr<const fleet_view> now() const;
 
-    /// @brief Asks again at once, as when keepers turn out to have moved.
+    /// @brief Asks again at once.
     void refresh();
 
     /// @brief Tells a coordinator that this process leaves.
--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -209,8 +209,7 @@
             this->node_table(one) + "[coordinator]\nlisten = \"" + one.address +
                 "\"\nmetrics = \"" + one.metrics + "\"\npeers = " + peers +
                 "\n" + store_table + "[hosts]\naddress = \"" +
-                this->hosts.address + "\"\n[claims]\nwindow = \"" +
-                this->plan.claim_window + "\"\n[slots]\norder = \"" +
+                this->hosts.address + "\"\n[slots]\norder = \"" +
                 this->plan.queue_order + "\"\ninitial_concurrency = " +
                 std::to_string(this->plan.initial_concurrency) +
                 "\nmost_concurrency = " +
@@ -228,7 +227,8 @@
                              this->plan.strategy +
                              "\"\nretry_percent = " + this->plan.retry_percent +
                              "\nhedge_percent = " + this->plan.hedge_percent +
-                             "\n");
+                             "\nclaim_window = \"" + this->plan.claim_window +
+                             "\"\n" + store_table);
     }
     for (const auto& one : this->batch_hosts)
         this->write_file(one.name + ".toml",
--- a/tests/process/fault_table.cpp
+++ b/tests/process/fault_table.cpp
@@ -110,11 +110,6 @@
                          {{"lose_answers", std::stoi(object)}});
             continue;
         }
-        if (verb == "retire")
-        {
-            running.ctl({"retire", object});
-            continue;
-        }
         if (resolver.name)
             object = resolver.name(object);
         auto& target = node_of(running, object);
--- a/tests/standins/standin_store.cpp
+++ b/tests/standins/standin_store.cpp
@@ -16,6 +16,9 @@
     std::string value;
     std::uint64_t version = 0;
     std::uint64_t revision = 0;
+    /// When the key's lease ends.
+    std::chrono::steady_clock::time_point until =
+        std::chrono::steady_clock::time_point::max();
 };
 
 /// @brief A key-value service with switches for its failures.
@@ -73,9 +76,17 @@
                                              {"keys", this->entries.size()}});
     }
 
+    void expire()
+    {
+        auto now = std::chrono::steady_clock::now();
+        std::erase_if(this->entries, [now](const auto& each)
+                      { return now > each.second.until; });
+    }
+
     http::response read(const std::string& key)
     {
         std::lock_guard lock(this->guard);
+        this->expire();
         ++this->reads;
         auto found = this->entries.find(key);
         if (found == this->entries.end())
@@ -87,6 +98,7 @@
     {
         constexpr std::size_t value_limit_bytes = 1u << 20;
         std::lock_guard lock(this->guard);
+        this->expire();
         ++this->writes;
         if (asked.body.size() > value_limit_bytes)
             return standins::json_response(413, {{"error", "value too large"}});
@@ -103,6 +115,12 @@
         value.value = asked.body;
         value.version = expected + 1;
         value.revision = ++this->revision;
+        auto ttl = http::query_value(asked.query, "ttl_ms");
+        value.until =
+            ttl.empty()
+                ? std::chrono::steady_clock::time_point::max()
+                : std::chrono::steady_clock::now() +
+                      std::chrono::milliseconds(std::stoi(std::string(ttl)));
         this->changed.notify_all();
         auto answer = standins::json_response(200, entry(key, value));
         if (this->lose_answers > 0)
