host: Read the store through one host a zone and keep submits for a new owner

Ruled out: reading stale copies, which may be older than the drain time. Change: the first host of a zone that the store answers reads for it; takeover after 1.2 s of silence; an entry keeps a submit for the new owner up to 2.2 s; retries in an outage every 2 s. source/platform became source/adapters, so that it isn't taken for platform/.

--- a/source/platform/host_list.hpp
+++ b/source/adapters/host_list.hpp
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-namespace amaranthhatch::platform
+namespace amaranthhatch::adapters
 {
 
 /// @brief What an endpoint speaks.
@@ -38,4 +38,4 @@
     virtual std::optional<std::vector<listed_endpoint>> read() = 0;
 };
 
-} // namespace amaranthhatch::platform
+} // namespace amaranthhatch::adapters
--- a/source/platform/http_host_list.cpp
+++ b/source/adapters/http_host_list.cpp
@@ -1,10 +1,10 @@
-#include "platform/http_host_list.hpp"
+#include "adapters/http_host_list.hpp"
 
 #include <nlohmann/json.hpp>
 
 #include "http/client.hpp"
 
-namespace amaranthhatch::platform
+namespace amaranthhatch::adapters
 {
 
 namespace
@@ -57,4 +57,4 @@
     }
 }
 
-} // namespace amaranthhatch::platform
+} // namespace amaranthhatch::adapters
--- a/source/platform/http_host_list.hpp
+++ b/source/adapters/http_host_list.hpp
@@ -2,9 +2,9 @@
 
 #include <string>
 
-#include "platform/host_list.hpp"
+#include "adapters/host_list.hpp"
 
-namespace amaranthhatch::platform
+namespace amaranthhatch::adapters
 {
 
 /// @brief The host list over its HTTP interface, GET /v1/hosts.
@@ -19,4 +19,4 @@
     std::string address;
 };
 
-} // namespace amaranthhatch::platform
+} // namespace amaranthhatch::adapters
--- a/source/platform/http_key_value_store.cpp
+++ b/source/adapters/http_key_value_store.cpp
@@ -1,10 +1,10 @@
-#include "platform/http_key_value_store.hpp"
+#include "adapters/http_key_value_store.hpp"
 
 #include <nlohmann/json.hpp>
 
 #include "http/client.hpp"
 
-namespace amaranthhatch::platform
+namespace amaranthhatch::adapters
 {
 
 namespace
@@ -133,4 +133,4 @@
     return changes;
 }
 
-} // namespace amaranthhatch::platform
+} // namespace amaranthhatch::adapters
--- a/source/platform/http_key_value_store.hpp
+++ b/source/adapters/http_key_value_store.hpp
@@ -2,9 +2,9 @@
 
 #include <string>
 
-#include "platform/key_value_store.hpp"
+#include "adapters/key_value_store.hpp"
 
-namespace amaranthhatch::platform
+namespace amaranthhatch::adapters
 {
 
 /// @brief The key-value service over its HTTP interface.
@@ -27,4 +27,4 @@
     std::string address;
 };
 
-} // namespace amaranthhatch::platform
+} // namespace amaranthhatch::adapters
--- a/source/platform/http_model_engine.cpp
+++ b/source/adapters/http_model_engine.cpp
@@ -1,10 +1,10 @@
-#include "platform/http_model_engine.hpp"
+#include "adapters/http_model_engine.hpp"
 
 #include <nlohmann/json.hpp>
 
 #include "http/client.hpp"
 
-namespace amaranthhatch::platform
+namespace amaranthhatch::adapters
 {
 
 namespace
@@ -149,4 +149,4 @@
     http::perform(call);
 }
 
-} // namespace amaranthhatch::platform
+} // namespace amaranthhatch::adapters
--- a/source/platform/http_model_engine.hpp
+++ b/source/adapters/http_model_engine.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "platform/model_engine.hpp"
+#include "adapters/model_engine.hpp"
 
-namespace amaranthhatch::platform
+namespace amaranthhatch::adapters
 {
 
 /// @brief A model engine with completions streamed as server-sent events.
@@ -16,4 +16,4 @@
     void cancel(std::string_view address, std::string_view request) override;
 };
 
-} // namespace amaranthhatch::platform
+} // namespace amaranthhatch::adapters
--- a/source/platform/key_value_store.cpp
+++ b/source/adapters/key_value_store.cpp
@@ -1,6 +1,6 @@
-#include "platform/key_value_store.hpp"
+#include "adapters/key_value_store.hpp"
 
-namespace amaranthhatch::platform
+namespace amaranthhatch::adapters
 {
 
 store_answer write_resolved(key_value_store& store, std::string_view key,
@@ -31,4 +31,4 @@
     return written;
 }
 
-} // namespace amaranthhatch::platform
+} // namespace amaranthhatch::adapters
--- a/source/platform/key_value_store.hpp
+++ b/source/adapters/key_value_store.hpp
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <vector>
 
-namespace amaranthhatch::platform
+namespace amaranthhatch::adapters
 {
 
 /// @brief How a call to the platform's key-value service ended.
@@ -75,4 +75,4 @@
                             std::uint64_t expected_version,
                             std::chrono::milliseconds time_to_live = {});
 
-} // namespace amaranthhatch::platform
+} // namespace amaranthhatch::adapters
--- a/source/platform/model_engine.hpp
+++ b/source/adapters/model_engine.hpp
@@ -7,7 +7,7 @@
 #include <string_view>
 #include <vector>
 
-namespace amaranthhatch::platform
+namespace amaranthhatch::adapters
 {
 
 /// @brief A generation to start, or to resume after some tokens.
@@ -77,4 +77,4 @@
     virtual void cancel(std::string_view address, std::string_view request) = 0;
 };
 
-} // namespace amaranthhatch::platform
+} // namespace amaranthhatch::adapters
--- a/source/batch/batch_node.cpp
+++ b/source/batch/batch_node.cpp
@@ -68,8 +68,8 @@
     return read;
 }
 
-batch_node::batch_node(batch_settings settings, platform::model_engine& engine,
-                       platform::key_value_store& store,
+batch_node::batch_node(batch_settings settings, adapters::model_engine& engine,
+                       adapters::key_value_store& store,
                        metrics::registry& metrics, net::rpc_client& peers)
     : settings(std::move(settings)), metrics(metrics),
       self(own_member(this->settings)),
--- a/source/batch/batch_node.hpp
+++ b/source/batch/batch_node.hpp
@@ -5,6 +5,8 @@
 #include <string_view>
 #include <vector>
 
+#include "adapters/key_value_store.hpp"
+#include "adapters/model_engine.hpp"
 #include "batch/batch_folder.hpp"
 #include "batch/batch_peers.hpp"
 #include "batch/item_runner.hpp"
@@ -17,8 +19,6 @@
 #include "metrics/registry.hpp"
 #include "net/rpc_client.hpp"
 #include "net/rpc_server.hpp"
-#include "platform/key_value_store.hpp"
-#include "platform/model_engine.hpp"
 #include "process/program.hpp"
 #include "routing/canceller.hpp"
 #include "routing/generation_run.hpp"
@@ -47,8 +47,8 @@
 class batch_node
 {
 public:
-    batch_node(batch_settings settings, platform::model_engine& engine,
-               platform::key_value_store& store, metrics::registry& metrics,
+    batch_node(batch_settings settings, adapters::model_engine& engine,
+               adapters::key_value_store& store, metrics::registry& metrics,
                net::rpc_client& peers);
 
     void start();
--- a/source/batch/item_runner.cpp
+++ b/source/batch/item_runner.cpp
@@ -134,7 +134,7 @@
                              error_line(id, "", error.what()));
         return;
     }
-    platform::generation asked;
+    adapters::generation asked;
     asked.request = id + "-" + std::to_string(item.job->epoch());
     asked.model = parsed.request.model;
     asked.prompt = parsed.request.prompt;
@@ -155,7 +155,7 @@
     while (state == generation_run::state::running && !this->stopping &&
            !item.job->is_stopped())
     {
-        std::vector<platform::token> ignored;
+        std::vector<adapters::token> ignored;
         state = run.pump(pump_wait, ignored);
     }
     item.run.text = run.text();
--- a/source/batch/job_keeper.cpp
+++ b/source/batch/job_keeper.cpp
@@ -17,13 +17,13 @@
 
 namespace messages = core::messages;
 
+using adapters::store_result;
 using core::outcome;
 using core::refusal;
 using core::jobs::job_manifest;
 using core::jobs::manifest_action;
 using core::jobs::manifest_state;
 using messages::job_state;
-using platform::store_result;
 using std::chrono::milliseconds;
 
 constexpr milliseconds watch_time{1000};
@@ -61,7 +61,7 @@
 
 job_keeper::job_keeper(batch_folder& folder, batch_peers& peers,
                        job_board& board, manifest_cache& manifests,
-                       job_views& views, platform::key_value_store& store,
+                       job_views& views, adapters::key_value_store& store,
                        metrics::registry& metrics)
     : folder(folder), peers(peers), board(board), manifests(manifests),
       views(views), store(store), metrics(metrics)
@@ -106,7 +106,7 @@
     }
 }
 
-void job_keeper::take(const platform::store_entry& entry)
+void job_keeper::take(const adapters::store_entry& entry)
 {
     if (auto news = this->manifests.take(entry))
         this->obey(*news);
@@ -139,7 +139,7 @@
 {
     manifest.write = process::random_text();
     auto answer =
-        platform::write_resolved(this->store, manifest_key(manifest.job),
+        adapters::write_resolved(this->store, manifest_key(manifest.job),
                                  write_manifest(manifest), version);
     write_result result;
     result.result = answer.result;
--- a/source/batch/job_keeper.hpp
+++ b/source/batch/job_keeper.hpp
@@ -10,6 +10,7 @@
 #include <thread>
 #include <vector>
 
+#include "adapters/key_value_store.hpp"
 #include "batch/batch_folder.hpp"
 #include "batch/batch_peers.hpp"
 #include "batch/job_board.hpp"
@@ -18,7 +19,6 @@
 #include "core/jobs/job_manifest.hpp"
 #include "core/messages/jobs.hpp"
 #include "metrics/registry.hpp"
-#include "platform/key_value_store.hpp"
 
 namespace amaranthhatch::batch
 {
@@ -32,7 +32,7 @@
 public:
     job_keeper(batch_folder& folder, batch_peers& peers, job_board& board,
                manifest_cache& manifests, job_views& views,
-               platform::key_value_store& store, metrics::registry& metrics);
+               adapters::key_value_store& store, metrics::registry& metrics);
     ~job_keeper();
 
     void start();
@@ -50,14 +50,14 @@
 private:
     struct write_result
     {
-        platform::store_result result = platform::store_result::unreachable;
+        adapters::store_result result = adapters::store_result::unreachable;
         known_manifest now;
     };
 
     void watch();
     void manage();
     void commit_loop();
-    void take(const platform::store_entry& entry);
+    void take(const adapters::store_entry& entry);
     void obey(const core::jobs::job_manifest& manifest);
     std::shared_ptr<std::mutex> lock_of(const std::string& job);
 
@@ -88,7 +88,7 @@
     job_board& board;
     manifest_cache& manifests;
     job_views& views;
-    platform::key_value_store& store;
+    adapters::key_value_store& store;
     metrics::registry& metrics;
     mutable std::mutex guard;
     /// Epochs that this process has won; used by the managing thread alone.
--- a/source/batch/manifest_cache.cpp
+++ b/source/batch/manifest_cache.cpp
@@ -6,7 +6,7 @@
 {
 
 std::optional<core::jobs::job_manifest>
-manifest_cache::take(const platform::store_entry& entry)
+manifest_cache::take(const adapters::store_entry& entry)
 {
     auto manifest = read_manifest(entry.value);
     if (!manifest)
--- a/source/batch/manifest_cache.hpp
+++ b/source/batch/manifest_cache.hpp
@@ -8,8 +8,8 @@
 #include <string_view>
 #include <vector>
 
+#include "adapters/key_value_store.hpp"
 #include "core/jobs/job_manifest.hpp"
-#include "platform/key_value_store.hpp"
 
 namespace amaranthhatch::batch
 {
@@ -28,7 +28,7 @@
 public:
     /// @brief Takes an entry; the manifest where it was news.
     std::optional<core::jobs::job_manifest>
-    take(const platform::store_entry& entry);
+    take(const adapters::store_entry& entry);
 
     /// @brief A job's manifest; version zero where none is known.
     known_manifest find(std::string_view job) const;
--- a/source/batches/batch_client.cpp
+++ b/source/batches/batch_client.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include "host/boot_clock.hpp"
 #include "http/whole_call.hpp"
 #include "logging/event.hpp"
 
@@ -14,9 +15,10 @@
 // The owner itself gives up a commit after 2.5 s.
 constexpr core::milliseconds call_limit{3000};
 constexpr core::milliseconds retry_pause{60};
-// Three tries cover an owner that has just changed; a takeover lasts longer
-// and is for the caller to wait for.
-constexpr int try_limit = 3;
+// A takeover takes about this long; a job that is submitted meanwhile is kept
+// for the new owner, a reader asks again by itself.
+constexpr core::milliseconds submit_patience{2200};
+constexpr core::milliseconds read_patience{300};
 
 } // namespace
 
@@ -27,7 +29,7 @@
     core::milliseconds limit{};
     answer_callback done;
     std::string owner_disk;
-    int tries = 0;
+    core::instant give_up_at{};
 };
 
 batch_client::batch_client(host::host_runtime& runtime) : runtime(runtime) {}
@@ -52,7 +54,7 @@
 
 void batch_client::retry(std::shared_ptr<request> asked, job_outcome otherwise)
 {
-    if (asked->tries >= try_limit)
+    if (host::boot_now() >= asked->give_up_at)
     {
         logging::event(logging::level::warning, "job_owner_unreached")
             .with("job", asked->job)
@@ -68,7 +70,6 @@
 
 void batch_client::call(std::shared_ptr<request> asked)
 {
-    asked->tries++;
     const auto* owner = this->owner_of(asked->job);
     asked->owner_disk = owner == nullptr ? "" : owner->disk;
     if (owner == nullptr)
@@ -105,6 +106,7 @@
 void batch_client::submit(const core::batches::job& job, outcome_callback done)
 {
     auto asked = std::make_shared<request>();
+    asked->give_up_at = host::boot_now() + submit_patience;
     asked->job = job.id;
     asked->http.method = "POST";
     asked->http.target = "/jobs";
@@ -119,6 +121,7 @@
                         core::milliseconds wait, read_callback done)
 {
     auto asked = std::make_shared<request>();
+    asked->give_up_at = host::boot_now() + read_patience;
     asked->job = job;
     asked->http.target = "/jobs/" + job +
                          "/results?after=" + std::to_string(after) +
@@ -140,6 +143,7 @@
                              body_callback done)
 {
     auto asked = std::make_shared<request>();
+    asked->give_up_at = host::boot_now() + read_patience;
     asked->job = job;
     asked->http.target = "/jobs/" + job + "/body?item=" + item;
     asked->limit = call_limit;
@@ -150,6 +154,7 @@
 void batch_client::end(const std::string& job, outcome_callback done)
 {
     auto asked = std::make_shared<request>();
+    asked->give_up_at = host::boot_now() + read_patience;
     asked->job = job;
     asked->http.method = "DELETE";
     asked->http.target = "/jobs/" + job;
--- a/source/batches/timing.hpp
+++ b/source/batches/timing.hpp
@@ -10,9 +10,9 @@
 inline constexpr core::milliseconds lease_time{800};
 /// A copy takes over after this silence of the owner. The margin over the
 /// lease covers a beacon's way between regions and a slow wake-up.
-inline constexpr core::milliseconds takeover_time{1500};
+inline constexpr core::milliseconds takeover_time{1200};
 /// A copy that is silent this long gets a replacement.
-inline constexpr core::milliseconds replace_time{1500};
+inline constexpr core::milliseconds replace_time{1200};
 /// A new owner waits this long for the marks of copies that don't answer.
 inline constexpr core::milliseconds reconcile_time{600};
 
--- a/source/coordinator/coordinator_node.cpp
+++ b/source/coordinator/coordinator_node.cpp
@@ -92,9 +92,9 @@
 }
 
 coordinator_node::coordinator_node(coordinator_settings settings,
-                                   platform::key_value_store& store,
-                                   platform::host_list& hosts,
-                                   platform::model_engine& engine,
+                                   adapters::key_value_store& store,
+                                   adapters::host_list& hosts,
+                                   adapters::model_engine& engine,
                                    metrics::registry& metrics,
                                    net::rpc_client& peers)
     : settings(std::move(settings)), boot(process::random_text()), store(store),
@@ -347,17 +347,17 @@
 void coordinator_node::run_probe(const std::string& group,
                                  const core::slots::slot_probe& probe)
 {
-    platform::generation asked;
+    adapters::generation asked;
     asked.request = "probe-" + process::random_text();
     asked.model = group.substr(0, group.rfind('@'));
     asked.prompt = "probe";
     asked.max_tokens = probe_tokens;
     auto end = control::monotonic_now() + probe_limit;
     auto stream = this->engine.generate(probe.address, asked, probe_limit);
-    std::vector<platform::token> tokens;
+    std::vector<adapters::token> tokens;
     core::instant first{};
-    auto state = platform::stream_end::open;
-    while (state == platform::stream_end::open &&
+    auto state = adapters::stream_end::open;
+    while (state == adapters::stream_end::open &&
            control::monotonic_now() < end)
     {
         state = stream->pump(core::milliseconds(20), tokens);
@@ -370,7 +370,7 @@
     auto count =
         tokens.empty() ? 0u : static_cast<std::uint32_t>(tokens.size()) - 1;
     stream.reset();
-    if (state == platform::stream_end::open)
+    if (state == adapters::stream_end::open)
         this->engine.cancel(probe.address, asked.request);
     this->loop.post(
         [this, group, endpoint = probe.endpoint, count, time]
--- a/source/coordinator/coordinator_node.hpp
+++ b/source/coordinator/coordinator_node.hpp
@@ -5,6 +5,9 @@
 #include <string_view>
 #include <vector>
 
+#include "adapters/host_list.hpp"
+#include "adapters/key_value_store.hpp"
+#include "adapters/model_engine.hpp"
 #include "control/control_loop.hpp"
 #include "control/worker_pool.hpp"
 #include "coordinator/member_service.hpp"
@@ -15,9 +18,6 @@
 #include "net/codec.hpp"
 #include "net/rpc_client.hpp"
 #include "net/rpc_server.hpp"
-#include "platform/host_list.hpp"
-#include "platform/key_value_store.hpp"
-#include "platform/model_engine.hpp"
 #include "process/program.hpp"
 
 namespace amaranthhatch::coordinator
@@ -43,8 +43,8 @@
 {
 public:
     coordinator_node(coordinator_settings settings,
-                     platform::key_value_store& store,
-                     platform::host_list& hosts, platform::model_engine& engine,
+                     adapters::key_value_store& store,
+                     adapters::host_list& hosts, adapters::model_engine& engine,
                      metrics::registry& metrics, net::rpc_client& peers);
     ~coordinator_node() override;
 
@@ -89,9 +89,9 @@
 
     coordinator_settings settings;
     std::string boot;
-    platform::key_value_store& store;
-    platform::host_list& hosts;
-    platform::model_engine& engine;
+    adapters::key_value_store& store;
+    adapters::host_list& hosts;
+    adapters::model_engine& engine;
     metrics::registry& metrics;
     net::rpc_client& peers;
     control::control_loop loop;
--- a/source/coordinator/shared_watcher.cpp
+++ b/source/coordinator/shared_watcher.cpp
@@ -19,7 +19,7 @@
 
 } // namespace
 
-shared_watcher::shared_watcher(platform::key_value_store& store,
+shared_watcher::shared_watcher(adapters::key_value_store& store,
                                shared_state_owner& owner)
     : store(store), owner(owner)
 {
@@ -58,7 +58,7 @@
         auto changes =
             this->store.watch(shared_prefix, first ? 0 : this->seen_revision,
                               first ? milliseconds(0) : watch_time);
-        bool done = changes.result == platform::store_result::done;
+        bool done = changes.result == adapters::store_result::done;
         if (done != this->store_reachable)
             logging::event(logging::level::warning, "store_reachable")
                 .with("reachable", done ? "true" : "false");
@@ -75,7 +75,7 @@
     }
 }
 
-void shared_watcher::take(const platform::store_entry& entry)
+void shared_watcher::take(const adapters::store_entry& entry)
 {
     if (entry.key != configuration_key)
         return;
--- a/source/coordinator/shared_watcher.hpp
+++ b/source/coordinator/shared_watcher.hpp
@@ -7,8 +7,8 @@
 #include <thread>
 #include <vector>
 
+#include "adapters/key_value_store.hpp"
 #include "coordinator/shared_state.hpp"
-#include "platform/key_value_store.hpp"
 
 namespace amaranthhatch::coordinator
 {
@@ -29,7 +29,7 @@
 class shared_watcher
 {
 public:
-    shared_watcher(platform::key_value_store& store, shared_state_owner& owner);
+    shared_watcher(adapters::key_value_store& store, shared_state_owner& owner);
     ~shared_watcher();
 
     void start();
@@ -41,10 +41,10 @@
 
 private:
     void run();
-    void take(const platform::store_entry& entry);
+    void take(const adapters::store_entry& entry);
     void sleep(std::chrono::milliseconds time) const;
 
-    platform::key_value_store& store;
+    adapters::key_value_store& store;
     shared_state_owner& owner;
     std::atomic<bool> watching{true};
     std::atomic<bool> stopping{false};
--- a/source/coordinator/slot_service.cpp
+++ b/source/coordinator/slot_service.cpp
@@ -42,14 +42,14 @@
 }
 
 void slot_service::set_endpoints(
-    core::instant now, const std::vector<platform::listed_endpoint>& listed)
+    core::instant now, const std::vector<adapters::listed_endpoint>& listed)
 {
     std::map<std::string, std::vector<core::slots::group_endpoint>> by_group;
     for (const auto& [name, group] : this->groups)
         by_group[name];
     for (const auto& one : listed)
     {
-        bool engine = one.kind == platform::endpoint_kind::engine;
+        bool engine = one.kind == adapters::endpoint_kind::engine;
         by_group[group_name(one.serves, one.region)].push_back(
             {one.name, one.address, one.region, one.leaving, engine});
     }
--- a/source/coordinator/slot_service.hpp
+++ b/source/coordinator/slot_service.hpp
@@ -6,12 +6,12 @@
 #include <string>
 #include <vector>
 
+#include "adapters/host_list.hpp"
 #include "core/instant.hpp"
 #include "core/messages/slots.hpp"
 #include "core/slots/slot_scheduler.hpp"
 #include "metrics/registry.hpp"
 #include "net/rpc_server.hpp"
-#include "platform/host_list.hpp"
 
 namespace amaranthhatch::coordinator
 {
@@ -39,7 +39,7 @@
                      core::milliseconds time);
 
     void set_endpoints(core::instant now,
-                       const std::vector<platform::listed_endpoint>& listed);
+                       const std::vector<adapters::listed_endpoint>& listed);
     void want(core::instant now, const core::messages::want_slot& request,
               net::reply_handle reply);
     void report(core::instant now, const core::messages::slot_report& told,
--- a/source/core/peers/beacon.hpp
+++ b/source/core/peers/beacon.hpp
@@ -61,6 +61,8 @@
     /// Identifies the disk of a host that keeps jobs; empty otherwise.
     std::string disk;
     bool leaving = false;
+    /// True while the store doesn't answer the sender.
+    bool store_away = false;
     /// True where the loads are those of the sender's whole zone.
     bool zone_summary = false;
     std::vector<echo> echoes;
--- a/source/core/peers/peer_table.cpp
+++ b/source/core/peers/peer_table.cpp
@@ -39,6 +39,7 @@
     known.heard = now;
     known.sent_ms = std::max(known.sent_ms, from.sent_ms);
     known.leaving = from.leaving;
+    known.store_away = from.store_away;
     known.copies = from.copies;
 }
 
@@ -75,8 +76,8 @@
     if (from.zone == this->own_zone)
         return false;
     auto& summary = this->summaries[from.zone];
-    bool same_start = summary.lead == from.name &&
-                      summary.incarnation == from.incarnation;
+    bool same_start =
+        summary.lead == from.name && summary.incarnation == from.incarnation;
     // A summary that was passed on comes more than once.
     if (same_start && from.sent_ms <= summary.sent_ms)
         return false;
@@ -91,18 +92,31 @@
     return true;
 }
 
-bool peer_table::leads_zone(instant now) const
+bool peer_table::first_in_zone(instant now, bool reaching_store) const
 {
     return std::none_of(this->peers.begin(), this->peers.end(),
                         [&](const auto& each)
                         {
-                            return each.second.zone == this->own_zone &&
-                                   each.first < this->own_name &&
-                                   !each.second.leaving &&
-                                   this->alive(each.second, now);
+                            const peer& other = each.second;
+                            bool counts =
+                                !other.leaving &&
+                                (!reaching_store || !other.store_away) &&
+                                this->alive(other, now);
+                            return counts && other.zone == this->own_zone &&
+                                   each.first < this->own_name;
                         });
 }
 
+bool peer_table::leads_zone(instant now) const
+{
+    return this->first_in_zone(now, false);
+}
+
+bool peer_table::reads_for_zone(instant now) const
+{
+    return this->first_in_zone(now, true);
+}
+
 std::size_t peer_table::zone_size(instant now) const
 {
     auto others = std::count_if(this->peers.begin(), this->peers.end(),
--- a/source/core/peers/peer_table.hpp
+++ b/source/core/peers/peer_table.hpp
@@ -29,6 +29,7 @@
     instant echoed{};
     bool registered = false;
     bool leaving = false;
+    bool store_away = false;
     std::vector<endpoint_load> loads;
     std::vector<copy_revision> copies;
     std::vector<backlog> backlogs;
@@ -84,6 +85,10 @@
     /// there, its name sorts first.
     bool leads_zone(instant now) const;
 
+    /// @brief True where this host reads the store for its zone: no live host
+    /// that the store answers sorts before it.
+    bool reads_for_zone(instant now) const;
+
     /// @brief Live hosts of this zone, this one included.
     std::size_t zone_size(instant now) const;
 
@@ -112,6 +117,7 @@
         std::vector<endpoint_load> loads;
     };
 
+    bool first_in_zone(instant now, bool reaching_store) const;
     bool hear_summary(const beacon& from, instant now);
     void note_host(peer& known, const beacon& from, instant now);
     void add_loads(const std::vector<endpoint_load>& loads, int sign);
--- a/source/entry/completion_handler.cpp
+++ b/source/entry/completion_handler.cpp
@@ -31,7 +31,7 @@
     openai::completion_request request;
     std::unique_ptr<generation_run> run;
     workspace_limits::place place;
-    std::vector<platform::token> first_tokens;
+    std::vector<adapters::token> first_tokens;
     generation_run::state state = generation_run::state::running;
 };
 
@@ -192,7 +192,7 @@
                                  outcome::not_run,
                                  "the workspace's limit is reached",
                                  {}});
-    platform::generation generation;
+    adapters::generation generation;
     generation.request = running->id;
     generation.model = request.model;
     generation.prompt = request.prompt;
--- a/source/entry/entry_node.cpp
+++ b/source/entry/entry_node.cpp
@@ -75,8 +75,8 @@
     return read;
 }
 
-entry_node::entry_node(entry_settings settings, platform::model_engine& engine,
-                       platform::key_value_store& store,
+entry_node::entry_node(entry_settings settings, adapters::model_engine& engine,
+                       adapters::key_value_store& store,
                        metrics::registry& metrics, net::rpc_client& peers)
     : settings(std::move(settings)), metrics(metrics),
       view(own_member(this->settings.node, this->settings.listen),
--- a/source/entry/entry_node.hpp
+++ b/source/entry/entry_node.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "adapters/model_engine.hpp"
 #include "entry/batch_gateway.hpp"
 #include "entry/completion_handler.hpp"
 #include "entry/service_handler.hpp"
@@ -12,7 +13,6 @@
 #include "http/server.hpp"
 #include "metrics/registry.hpp"
 #include "net/rpc_client.hpp"
-#include "platform/model_engine.hpp"
 #include "process/program.hpp"
 #include "routing/canceller.hpp"
 #include "routing/claim_client.hpp"
@@ -49,8 +49,8 @@
 class entry_node
 {
 public:
-    entry_node(entry_settings settings, platform::model_engine& engine,
-               platform::key_value_store& store, metrics::registry& metrics,
+    entry_node(entry_settings settings, adapters::model_engine& engine,
+               adapters::key_value_store& store, metrics::registry& metrics,
                net::rpc_client& peers);
 
     void start();
--- a/source/host/host_runtime.cpp
+++ b/source/host/host_runtime.cpp
@@ -29,7 +29,7 @@
 // beacons say who is alive.
 constexpr core::milliseconds registration_ttl{12000};
 constexpr core::milliseconds renew_interval{4000};
-constexpr core::milliseconds registration_retry{500};
+constexpr core::milliseconds registration_retry{2000};
 constexpr core::milliseconds check_interval{200};
 constexpr core::milliseconds pull_limit{500};
 // Entries that lapsed in an outage are back two seconds after it.
@@ -184,6 +184,9 @@
     out.region = this->own.region;
     out.disk = this->disk;
     out.leaving = this->leaving;
+    out.store_away =
+        std::any_of(this->copies.begin(), this->copies.end(),
+                    [](const auto& each) { return each->failing(); });
     // Only hosts with a disk hold leases from each other.
     if (!this->disk.empty())
         out.echoes = this->peer_hosts.disk_echoes(now);
@@ -265,11 +268,15 @@
 {
     auto now = boot_now();
     this->peer_hosts.expire(now);
-    // One host of each zone reads what changes all the time; the others take
-    // it over from hosts of their zone.
-    auto& listed =
-        *this->copies[static_cast<std::size_t>(copied_part::endpoints)];
-    listed.set_active(this->peer_hosts.leads_zone(now));
+    // One host of each zone reads the store; the others take over its copies.
+    bool reads = this->peer_hosts.reads_for_zone(now);
+    for (std::size_t part = 0; part < part_count; part++)
+    {
+        bool polled = part == static_cast<std::size_t>(copied_part::endpoints);
+        // Hosts with a disk act on the placement and wait for nobody.
+        this->copies[part]->set_active(reads ||
+                                       (!polled && !this->disk.empty()));
+    }
     for (std::size_t part = 0; part < part_count; part++)
     {
         auto& copy = *this->copies[part];
--- a/source/operators/control_tool.cpp
+++ b/source/operators/control_tool.cpp
@@ -22,7 +22,7 @@
 
 namespace messages = core::messages;
 
-using platform::store_result;
+using adapters::store_result;
 using std::chrono::milliseconds;
 
 constexpr int exit_done = 0;
@@ -77,7 +77,7 @@
 
 } // namespace
 
-control_tool::control_tool(platform::key_value_store& store,
+control_tool::control_tool(adapters::key_value_store& store,
                            std::vector<std::string> coordinators,
                            net::rpc_client& peers, std::ostream& out)
     : store(store), coordinators(std::move(coordinators)), peers(peers),
@@ -157,7 +157,7 @@
     next.apply = process::random_text();
     next.operator_name = operator_name;
     next.text = text;
-    auto written = platform::write_resolved(
+    auto written = adapters::write_resolved(
         this->store, coordinator::configuration_key,
         coordinator::write_configuration(next), current.version);
     if (written.result == store_result::done)
--- a/source/operators/control_tool.hpp
+++ b/source/operators/control_tool.hpp
@@ -5,10 +5,10 @@
 #include <string>
 #include <vector>
 
+#include "adapters/key_value_store.hpp"
 #include "coordinator/shared_state.hpp"
 #include "core/messages/members.hpp"
 #include "net/rpc_client.hpp"
-#include "platform/key_value_store.hpp"
 
 namespace amaranthhatch::operators
 {
@@ -20,7 +20,7 @@
 class control_tool
 {
 public:
-    control_tool(platform::key_value_store& store,
+    control_tool(adapters::key_value_store& store,
                  std::vector<std::string> coordinators, net::rpc_client& peers,
                  std::ostream& out);
 
@@ -44,7 +44,7 @@
     int wait_in_force(std::uint64_t revision, std::chrono::milliseconds wait);
     void print_difference(const std::string& from, const std::string& to);
 
-    platform::key_value_store& store;
+    adapters::key_value_store& store;
     std::vector<std::string> coordinators;
     net::rpc_client& peers;
     std::ostream& out;
--- a/source/peers/packing.cpp
+++ b/source/peers/packing.cpp
@@ -12,7 +12,7 @@
 
 // Changes whenever the fields below do, so that hosts of two releases ignore
 // each other's beacons instead of misreading them.
-constexpr std::uint32_t format = 2;
+constexpr std::uint32_t format = 3;
 
 struct packed_echo
 {
@@ -48,13 +48,15 @@
     std::string region;
     std::string disk;
     bool leaving = false;
+    bool store_away = false;
     bool zone_summary = false;
     std::vector<packed_echo> echoes;
     std::vector<packed_load> loads;
     std::vector<packed_pair> copies;
     std::vector<packed_pair> backlogs;
     MSGPACK_DEFINE(version, name, incarnation, sent_ms, address, zone, region,
-                   disk, leaving, zone_summary, echoes, loads, copies, backlogs)
+                   disk, leaving, store_away, zone_summary, echoes, loads,
+                   copies, backlogs)
 };
 
 struct packed_entry
@@ -112,6 +114,7 @@
     out.region = from.region;
     out.disk = from.disk;
     out.leaving = from.leaving;
+    out.store_away = from.store_away;
     out.zone_summary = from.zone_summary;
     for (const auto& each : from.echoes)
         out.echoes.push_back({each.peer, each.incarnation, each.sent_ms});
@@ -138,6 +141,7 @@
     out.region = in->region;
     out.disk = in->disk;
     out.leaving = in->leaving;
+    out.store_away = in->store_away;
     out.zone_summary = in->zone_summary;
     for (const auto& each : in->echoes)
         out.echoes.push_back({each.peer, each.incarnation, each.sent_ms});
--- a/source/programs/hatch_batch.cpp
+++ b/source/programs/hatch_batch.cpp
@@ -1,7 +1,7 @@
+#include "adapters/http_key_value_store.hpp"
+#include "adapters/http_model_engine.hpp"
 #include "batch/batch_node.hpp"
 #include "logging/event.hpp"
-#include "platform/http_key_value_store.hpp"
-#include "platform/http_model_engine.hpp"
 #include "process/program.hpp"
 
 using namespace amaranthhatch;
@@ -16,8 +16,8 @@
         return;
     logging::start("hatch-batch", settings.node.name);
     metrics::registry metrics(settings.metrics);
-    platform::http_model_engine engine;
-    platform::http_key_value_store store(settings.store);
+    adapters::http_model_engine engine;
+    adapters::http_key_value_store store(settings.store);
     net::rpc_client peers;
     batch::batch_node node(settings, engine, store, metrics, peers);
     node.start();
--- a/source/programs/hatch_coordinator.cpp
+++ b/source/programs/hatch_coordinator.cpp
@@ -1,8 +1,8 @@
+#include "adapters/http_host_list.hpp"
+#include "adapters/http_key_value_store.hpp"
+#include "adapters/http_model_engine.hpp"
 #include "coordinator/coordinator_node.hpp"
 #include "logging/event.hpp"
-#include "platform/http_host_list.hpp"
-#include "platform/http_key_value_store.hpp"
-#include "platform/http_model_engine.hpp"
 #include "process/program.hpp"
 
 using namespace amaranthhatch;
@@ -17,9 +17,9 @@
         return;
     logging::start("hatch-coordinator", settings.node.name);
     metrics::registry metrics(settings.metrics);
-    platform::http_key_value_store store(settings.store);
-    platform::http_host_list hosts(settings.hosts);
-    platform::http_model_engine engine;
+    adapters::http_key_value_store store(settings.store);
+    adapters::http_host_list hosts(settings.hosts);
+    adapters::http_model_engine engine;
     net::rpc_client peers;
     coordinator::coordinator_node node(settings, store, hosts, engine, metrics,
                                        peers);
--- a/source/programs/hatch_ctl.cpp
+++ b/source/programs/hatch_ctl.cpp
@@ -2,8 +2,8 @@
 
 #include <cxxopts.hpp>
 
+#include "adapters/http_key_value_store.hpp"
 #include "operators/control_tool.hpp"
-#include "platform/http_key_value_store.hpp"
 #include "process/program.hpp"
 #include "settings/document.hpp"
 
@@ -42,7 +42,7 @@
         std::cerr << "hatch-ctl: --settings FILE is missing; see --help\n";
         return exit_usage;
     }
-    platform::http_key_value_store store(store_address);
+    adapters::http_key_value_store store(store_address);
     net::rpc_client peers;
     operators::control_tool tool(store, coordinators, peers, std::cout);
     auto wait = std::chrono::milliseconds(parsed["wait"].as<int>());
--- a/source/routing/canceller.cpp
+++ b/source/routing/canceller.cpp
@@ -15,7 +15,7 @@
 
 } // namespace
 
-canceller::canceller(platform::model_engine& engine) : engine(engine)
+canceller::canceller(adapters::model_engine& engine) : engine(engine)
 {
     for (unsigned index = 0; index < thread_count; ++index)
         this->threads.emplace_back([this] { this->run(); });
--- a/source/routing/canceller.hpp
+++ b/source/routing/canceller.hpp
@@ -7,7 +7,7 @@
 #include <thread>
 #include <vector>
 
-#include "platform/model_engine.hpp"
+#include "adapters/model_engine.hpp"
 
 namespace amaranthhatch::routing
 {
@@ -16,7 +16,7 @@
 class canceller
 {
 public:
-    explicit canceller(platform::model_engine& engine);
+    explicit canceller(adapters::model_engine& engine);
     ~canceller();
 
     void cancel(std::string_view address, std::string_view request);
@@ -30,7 +30,7 @@
 
     void run();
 
-    platform::model_engine& engine;
+    adapters::model_engine& engine;
     std::mutex guard;
     std::condition_variable arrived;
     std::deque<order> orders;
--- a/source/routing/claim_client.cpp
+++ b/source/routing/claim_client.cpp
@@ -7,7 +7,7 @@
 namespace amaranthhatch::routing
 {
 
-using platform::store_result;
+using adapters::store_result;
 
 namespace
 {
@@ -26,7 +26,7 @@
 
 } // namespace
 
-claim_client::claim_client(platform::key_value_store& store,
+claim_client::claim_client(adapters::key_value_store& store,
                            std::chrono::milliseconds window,
                            metrics::registry& metrics)
     : store(store), window(window), metrics(metrics)
@@ -39,11 +39,11 @@
     auto attempt = process::random_text();
     auto place = store_key(key);
     auto answer =
-        platform::write_resolved(this->store, place, attempt, 0, this->window);
+        adapters::write_resolved(this->store, place, attempt, 0, this->window);
     bool given_back = answer.result == store_result::conflict &&
                       answer.entry.value == free_value;
     if (given_back)
-        answer = platform::write_resolved(this->store, place, attempt,
+        answer = adapters::write_resolved(this->store, place, attempt,
                                           answer.entry.version, this->window);
     claim_result out;
     if (answer.result == store_result::done)
--- a/source/routing/claim_client.hpp
+++ b/source/routing/claim_client.hpp
@@ -4,8 +4,8 @@
 #include <cstdint>
 #include <string>
 
+#include "adapters/key_value_store.hpp"
 #include "metrics/registry.hpp"
-#include "platform/key_value_store.hpp"
 
 namespace amaranthhatch::routing
 {
@@ -34,7 +34,7 @@
 class claim_client
 {
 public:
-    claim_client(platform::key_value_store& store,
+    claim_client(adapters::key_value_store& store,
                  std::chrono::milliseconds window, metrics::registry& metrics);
 
     /// @brief Claims a key; only after granted may the request be sent.
@@ -44,7 +44,7 @@
     void release(const std::string& key, const claim_result& held);
 
 private:
-    platform::key_value_store& store;
+    adapters::key_value_store& store;
     std::chrono::milliseconds window;
     metrics::registry& metrics;
 };
--- a/source/routing/generation_run.cpp
+++ b/source/routing/generation_run.cpp
@@ -11,11 +11,11 @@
 namespace
 {
 
+using adapters::stream_end;
 using control::monotonic_now;
 using core::milliseconds;
 using core::outcome;
 using core::refusal;
-using platform::stream_end;
 
 constexpr unsigned attempts_limit = 6;
 constexpr milliseconds second_patience{60};
@@ -38,7 +38,7 @@
 } // namespace
 
 generation_run::generation_run(generation_tools tools,
-                               platform::generation asked, slot_request wanted,
+                               adapters::generation asked, slot_request wanted,
                                milliseconds deadline,
                                milliseconds slot_patience)
     : tools(tools), asked(std::move(asked)), wanted(std::move(wanted)),
@@ -89,7 +89,7 @@
         this->asked.request + "." + std::to_string(++this->attempts_started);
     made.started = monotonic_now();
     made.last_token = made.started;
-    platform::generation sent = this->asked;
+    adapters::generation sent = this->asked;
     sent.request = made.request;
     sent.resume_from = this->next;
     sent.resume_text = this->text_so_far;
@@ -106,7 +106,7 @@
 }
 
 generation_run::state
-generation_run::pump(milliseconds wait, std::vector<platform::token>& arrived)
+generation_run::pump(milliseconds wait, std::vector<adapters::token>& arrived)
 {
     if (this->attempts.empty() && !this->start_attempt(this->slot_patience))
         return state::failed;
@@ -123,7 +123,7 @@
 
 generation_run::state
 generation_run::pump_attempts(milliseconds wait,
-                              std::vector<platform::token>& arrived)
+                              std::vector<adapters::token>& arrived)
 {
     // Two streams share the wait in short turns, so that neither holds up the
     // other's tokens.
@@ -131,7 +131,7 @@
     auto turn = this->attempts.size() > 1 ? std::min(wait, shared_turn) : wait;
     for (std::size_t index = 0; index < this->attempts.size(); ++index)
     {
-        std::vector<platform::token> got;
+        std::vector<adapters::token> got;
         stream_end end = this->attempts[index].stream->pump(turn, got);
         if (!got.empty() && this->take_tokens(index, got, arrived))
             index = 0;
@@ -143,8 +143,8 @@
 }
 
 bool generation_run::take_tokens(std::size_t index,
-                                 std::vector<platform::token>& got,
-                                 std::vector<platform::token>& arrived)
+                                 std::vector<adapters::token>& got,
+                                 std::vector<adapters::token>& arrived)
 {
     attempt& running = this->attempts[index];
     auto now = monotonic_now();
@@ -196,7 +196,7 @@
 {
     attempt ended = std::move(this->attempts[index]);
     this->attempts.erase(this->attempts.begin() + static_cast<long>(index));
-    std::vector<platform::token> ignored;
+    std::vector<adapters::token> ignored;
     bool open =
         ended.stream->pump(milliseconds(0), ignored) == stream_end::open;
     if (open)
--- a/source/routing/generation_run.hpp
+++ b/source/routing/generation_run.hpp
@@ -5,11 +5,11 @@
 #include <string>
 #include <vector>
 
+#include "adapters/model_engine.hpp"
 #include "core/instant.hpp"
 #include "core/limits/retry_budget.hpp"
 #include "core/outcome.hpp"
 #include "metrics/registry.hpp"
-#include "platform/model_engine.hpp"
 #include "routing/canceller.hpp"
 #include "routing/slot_client.hpp"
 
@@ -42,7 +42,7 @@
 /// @brief What a generation runs with.
 struct generation_tools
 {
-    platform::model_engine& engine;
+    adapters::model_engine& engine;
     slot_source& slots;
     canceller& cancels;
     shared_budget& hedges;
@@ -70,7 +70,7 @@
         yielded
     };
 
-    generation_run(generation_tools tools, platform::generation asked,
+    generation_run(generation_tools tools, adapters::generation asked,
                    slot_request wanted, core::milliseconds deadline,
                    core::milliseconds slot_patience);
     ~generation_run();
@@ -78,7 +78,7 @@
     generation_run& operator=(const generation_run&) = delete;
 
     /// @brief Appends the tokens that arrive within a time.
-    state pump(core::milliseconds wait, std::vector<platform::token>& arrived);
+    state pump(core::milliseconds wait, std::vector<adapters::token>& arrived);
 
     /// @brief What is known where the run has failed.
     core::outcome known() const;
@@ -97,7 +97,7 @@
     struct attempt
     {
         slot_ptr slot;
-        std::unique_ptr<platform::token_stream> stream;
+        std::unique_ptr<adapters::token_stream> stream;
         std::string request;
         core::instant started{};
         core::instant last_token{};
@@ -110,20 +110,20 @@
 
     bool start_attempt(core::milliseconds patience);
     state pump_attempts(core::milliseconds wait,
-                        std::vector<platform::token>& arrived);
-    bool take_tokens(std::size_t index, std::vector<platform::token>& got,
-                     std::vector<platform::token>& arrived);
+                        std::vector<adapters::token>& arrived);
+    bool take_tokens(std::size_t index, std::vector<adapters::token>& got,
+                     std::vector<adapters::token>& arrived);
     void end_attempt(std::size_t index, bool failed);
     void drop_others(std::size_t winner);
     void consider_second();
     bool is_late(const attempt& running) const;
     bool wants_second(const attempt& running, std::string_view& why) const;
-    state handle_end(std::size_t index, platform::stream_end end);
+    state handle_end(std::size_t index, adapters::stream_end end);
     state fail(core::refusal reason);
     core::milliseconds left() const;
 
     generation_tools tools;
-    platform::generation asked;
+    adapters::generation asked;
     slot_request wanted;
     core::instant end;
     core::milliseconds slot_patience;
--- a/source/store/mirror.cpp
+++ b/source/store/mirror.cpp
@@ -12,9 +12,11 @@
 {
 
 // The store answers in some milliseconds; a failed call is tried again after
-// a few times that, and at most once a second in a long outage.
+// a few times that, and every two seconds in a long outage: each is priced.
 constexpr core::milliseconds first_retry{50};
-constexpr core::milliseconds last_retry{1000};
+constexpr core::milliseconds last_retry{2000};
+// How soon a host that became its zone's reader begins to watch.
+constexpr core::milliseconds idle_check{500};
 
 } // namespace
 
@@ -49,6 +51,8 @@
 
 void mirror::watch()
 {
+    if (!this->active)
+        return this->schedule(idle_check);
     this->calling = true;
     // Hosts end their waiting calls at different times.
     auto wait = this->options.interval * (0.6 + 0.4 * host::uniform());
@@ -211,7 +215,7 @@
             if (this->options.mode == mirror_mode::watch && this->complete)
                 return this->watch();
             auto age = host::boot_now() - this->fresh_at;
-            bool fresh = age < this->options.interval * 3 / 2;
+            bool fresh = age < this->options.interval * 2;
             if (!this->active && this->complete && fresh)
                 return this->schedule(this->options.interval / 4);
             this->list();
--- a/source/store/mirror.hpp
+++ b/source/store/mirror.hpp
@@ -55,8 +55,10 @@
     /// @brief Takes another host's copy where it is newer; true if it was.
     bool adopt(const listing& theirs);
 
-    /// @brief Says whether this host reads a polled part itself; otherwise it
-    /// does so only where nobody's copy has arrived for long.
+    /// @brief Says whether this host reads from the store itself.
+    ///
+    /// Otherwise other hosts' copies keep this one up to date; a polled part
+    /// is still read where none has arrived for long.
     void set_active(bool reads) { this->active = reads; }
 
     const std::map<std::string, entry, std::less<>>& entries() const
--- a/tests/contract/contract_test.cpp
+++ b/tests/contract/contract_test.cpp
@@ -2,17 +2,17 @@
 
 #include <thread>
 
+#include "adapters/http_host_list.hpp"
+#include "adapters/http_key_value_store.hpp"
+#include "adapters/http_model_engine.hpp"
 #include "fleet.hpp"
 #include "load/expected_tokens.hpp"
-#include "platform/http_host_list.hpp"
-#include "platform/http_key_value_store.hpp"
-#include "platform/http_model_engine.hpp"
 
 using namespace amaranthhatch;
 using namespace std::chrono_literals;
+using adapters::store_result;
+using adapters::stream_end;
 using nlohmann::json;
-using platform::store_result;
-using platform::stream_end;
 
 namespace
 {
@@ -53,15 +53,15 @@
 {
     store_contract() : store(this->fleet.store.address) {}
 
-    platform::http_key_value_store store;
+    adapters::http_key_value_store store;
 };
 
 struct engine_contract : standins
 {
-    platform::generation ask(const std::string& request,
+    adapters::generation ask(const std::string& request,
                              std::uint32_t tokens) const
     {
-        platform::generation asked;
+        adapters::generation asked;
         asked.request = request;
         asked.model = "despacho-llm";
         asked.prompt = "prompt";
@@ -69,7 +69,7 @@
         return asked;
     }
 
-    stream_end read(const platform::generation& asked, std::string& text,
+    stream_end read(const adapters::generation& asked, std::string& text,
                     std::chrono::milliseconds limit = 10s)
     {
         auto stream = this->engine.generate(this->address(), asked, limit);
@@ -78,7 +78,7 @@
         while (state == stream_end::open &&
                std::chrono::steady_clock::now() < end)
         {
-            std::vector<platform::token> tokens;
+            std::vector<adapters::token> tokens;
             state = stream->pump(20ms, tokens);
             for (const auto& one : tokens)
                 text += one.text;
@@ -91,7 +91,7 @@
         return this->fleet.engines[0].address;
     }
 
-    platform::http_model_engine engine;
+    adapters::http_model_engine engine;
 };
 
 } // namespace
@@ -116,10 +116,10 @@
     CHECK(this->store.write("k", "one", 0).result == store_result::unknown);
     CHECK(this->store.read("k").entry.value == "one");
     fleet::admin(this->fleet.store, {{"lose_answers", 1}});
-    auto resolved = platform::write_resolved(this->store, "k", "two", 1);
+    auto resolved = adapters::write_resolved(this->store, "k", "two", 1);
     CHECK(resolved.result == store_result::done);
     CHECK(resolved.entry.version == 2);
-    auto conflict = platform::write_resolved(this->store, "k", "three", 1);
+    auto conflict = adapters::write_resolved(this->store, "k", "three", 1);
     CHECK(conflict.result == store_result::conflict);
 }
 
@@ -153,7 +153,7 @@
 
 TEST_CASE_METHOD(standins, "host list, change lags, is seen after its time")
 {
-    platform::http_host_list list(this->fleet.hosts.address);
+    adapters::http_host_list list(this->fleet.hosts.address);
     this->fleet.publish_hosts();
     auto listed = list.read();
     REQUIRE(listed);
@@ -210,7 +210,7 @@
 {
     auto old =
         this->engine.generate(this->address(), this->ask("old", 200), 30s);
-    std::vector<platform::token> tokens;
+    std::vector<adapters::token> tokens;
     while (tokens.empty())
         old->pump(50ms, tokens);
     fleet::admin(this->fleet.engines[0], {{"silent", true}});
@@ -228,7 +228,7 @@
 {
     auto stream =
         this->engine.generate(this->address(), this->ask("long", 4000), 60s);
-    std::vector<platform::token> tokens;
+    std::vector<adapters::token> tokens;
     while (tokens.empty())
         stream->pump(50ms, tokens);
     CHECK(fleet::counters(this->fleet.engines[0]).at("running") == 1);
@@ -251,7 +251,7 @@
     running();
     auto stream =
         this->engine.generate(this->address(), this->ask("long", 4000), 60s);
-    std::vector<platform::token> tokens;
+    std::vector<adapters::token> tokens;
     while (tokens.empty())
         stream->pump(50ms, tokens);
     CHECK(running() == 0);
--- a/tests/core/http_test.cpp
+++ b/tests/core/http_test.cpp
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include <unistd.h>
+
 #include <thread>
 
 #include <boost/asio/connect.hpp>
@@ -248,7 +250,9 @@
     }
 
     boost::asio::io_context loop;
-    static inline std::uint16_t next_port = 23000;
+    // Tests run side by side, each in a process of its own.
+    static inline std::uint16_t next_port =
+        static_cast<std::uint16_t>(20000 + getpid() * 13 % 12000);
     std::uint16_t port = next_port++;
     http::server_limits limits{1024, 64, 200ms, 400ms};
     http::async_server server;
--- a/tests/core/peers_test.cpp
+++ b/tests/core/peers_test.cpp
@@ -144,7 +144,12 @@
     CHECK_FALSE(this->peers.leads_zone(this->now));
     CHECK(this->peers.zone_size(this->now) == 2);
     CHECK(this->peers.leads_zone(this->now + 1100ms));
-    auto leaving = this->from("a", 2);
+    auto away = this->from("a", 2);
+    away.store_away = true;
+    this->peers.hear(away, this->now);
+    CHECK_FALSE(this->peers.leads_zone(this->now));
+    CHECK(this->peers.reads_for_zone(this->now));
+    auto leaving = this->from("a", 3);
     leaving.leaving = true;
     this->peers.hear(leaving, this->now);
     CHECK(this->peers.leads_zone(this->now));
