batches: Cut a copy's tail that its owner doesn't have

A copy or learner with records of an earlier epoch beyond its owner's log answered with a mark that the owner couldn't place, and was sent the whole log again without end; nothing was committed meanwhile. Ruled out: the dropping of strays, which had gone. Change: an append says how long the owner's log is; a copy drops what lies beyond it and is of an earlier epoch. The replay now also requires that everything is committed after a calm time.

--- a/source/batches/job_store.cpp
+++ b/source/batches/job_store.cpp
@@ -126,13 +126,14 @@
 {
     auto& known = this->make(job);
     job_append from{std::string(job), known.log.records().size(),
-                    known.log.mark().epoch, std::move(records)};
+                    known.log.mark().epoch, std::move(records), 0};
     known.log.append(from.place, from.previous_epoch, from.records);
     this->write(from, std::move(stored));
 }
 
 model::append_result job_store::take(const job_append& from,
-                                     std::function<void()> stored)
+                                     std::function<void()> stored,
+                                     std::uint64_t owner_epoch)
 {
     auto& known = this->make(from.job);
     auto before = known.log.records().size();
@@ -146,6 +147,7 @@
             this->jobs.erase(std::string(from.job));
         return result;
     }
+    known.log.drop_tail(from.total, owner_epoch);
     // What is on the disk already isn't written again.
     auto now = known.log.records();
     std::uint64_t same = 0;
@@ -160,7 +162,8 @@
         from.job,
         same,
         known.log.epoch_before(same),
-        {now.begin() + static_cast<std::ptrdiff_t>(same), now.end()}};
+        {now.begin() + static_cast<std::ptrdiff_t>(same), now.end()},
+        0};
     this->write(fresh, std::move(stored));
     return result;
 }
@@ -240,7 +243,7 @@
     for (const auto& each : call.jobs)
     {
         ++*open;
-        auto result = this->take(each, finish);
+        auto result = this->take(each, finish, call.epoch);
         bool mismatch = result == model::append_result::mismatch;
         answer->jobs.push_back(this->mark_of(each.job, mismatch));
         if (mismatch)
@@ -269,7 +272,8 @@
         if (!further || own.count == 0)
             continue;
         auto records = job.log.records().first(job.synced);
-        out.further.push_back({id, 0, 0, {records.begin(), records.end()}});
+        out.further.push_back(
+            {id, 0, 0, {records.begin(), records.end()}, records.size()});
     }
     return out;
 }
--- a/source/batches/job_store.hpp
+++ b/source/batches/job_store.hpp
@@ -44,8 +44,11 @@
              std::function<void()> stored);
 
     /// @brief Takes records of another host's log.
+    ///
+    /// With the epoch of an owner its log's length counts too.
     core::batches::append_result take(const job_append& from,
-                                      std::function<void()> stored);
+                                      std::function<void()> stored,
+                                      std::uint64_t owner_epoch = 0);
 
     void forget(std::string_view job);
 
--- a/source/batches/partition_owner.cpp
+++ b/source/batches/partition_owner.cpp
@@ -324,7 +324,7 @@
 {
     const auto* log = this->jobs.find(job);
     auto records = log->records();
-    job_append out{job, stored, log->epoch_before(stored), {}};
+    job_append out{job, stored, log->epoch_before(stored), {}, records.size()};
     std::size_t bytes = 0;
     for (auto place = stored; place < records.size(); place++)
     {
--- a/source/batches/records.cpp
+++ b/source/batches/records.cpp
@@ -50,7 +50,8 @@
     std::uint64_t place = 0;
     std::uint64_t previous_epoch = 0;
     std::vector<packed_record> records;
-    MSGPACK_DEFINE(job, place, previous_epoch, records)
+    std::uint64_t total = 0;
+    MSGPACK_DEFINE(job, place, previous_epoch, records, total)
 };
 
 struct packed_append_call
@@ -131,7 +132,8 @@
 
 packed_append to_packed(const job_append& from)
 {
-    packed_append out{from.job, from.place, from.previous_epoch, {}};
+    packed_append out{
+        from.job, from.place, from.previous_epoch, {}, from.total};
     for (const auto& each : from.records)
     {
         packed_record one{
@@ -146,7 +148,8 @@
 
 job_append from_packed(packed_append&& from)
 {
-    job_append out{std::move(from.job), from.place, from.previous_epoch, {}};
+    job_append out{
+        std::move(from.job), from.place, from.previous_epoch, {}, from.total};
     for (auto& each : from.records)
     {
         auto one = std::make_shared<model::record>();
--- a/source/batches/records.hpp
+++ b/source/batches/records.hpp
@@ -20,6 +20,8 @@
     std::uint64_t place = 0;
     std::uint64_t previous_epoch = 0;
     std::vector<core::batches::record_ptr> records;
+    /// Records in the sender's whole log of the job.
+    std::uint64_t total = 0;
 };
 
 /// @brief Records of one partition from its owner to a copy.
--- a/source/core/batches/job_log.cpp
+++ b/source/core/batches/job_log.cpp
@@ -40,6 +40,14 @@
     return append_result::appended;
 }
 
+void job_log::drop_tail(std::uint64_t owner_count, std::uint64_t owner_epoch)
+{
+    bool stale = owner_count < this->log.size() &&
+                 this->log[owner_count]->epoch < owner_epoch;
+    if (stale)
+        this->truncate(owner_count);
+}
+
 void job_log::truncate(std::uint64_t place)
 {
     if (place >= this->log.size())
--- a/source/core/batches/job_log.hpp
+++ b/source/core/batches/job_log.hpp
@@ -108,6 +108,12 @@
     append_result append(std::uint64_t place, std::uint64_t previous_epoch,
                          std::span<const record_ptr> added);
 
+    /// @brief Drops what an owner's log of this length doesn't have.
+    ///
+    /// Only records of earlier epochs go: they were never committed, as the
+    /// owner would have them. A late call of the same owner drops nothing.
+    void drop_tail(std::uint64_t owner_count, std::uint64_t owner_epoch);
+
     /// @brief Drops all records from a place on; for reading a log back.
     void truncate(std::uint64_t place);
 
--- a/tests/core/job_log_test.cpp
+++ b/tests/core/job_log_test.cpp
@@ -100,6 +100,18 @@
     CHECK_FALSE(this->log.finished(1));
 }
 
+TEST_CASE_METHOD(accepted_job, "job log, longer than a later owner's, is cut")
+{
+    this->add(
+        {make(record_kind::result, 1, 1), make(record_kind::result, 1, 0)});
+    // A late call of the owner that made the records drops nothing.
+    this->log.drop_tail(2, 1);
+    CHECK(this->log.records().size() == 3);
+    this->log.drop_tail(2, 4);
+    CHECK(this->log.records().size() == 2);
+    CHECK_FALSE(this->log.finished(0));
+}
+
 TEST_CASE("replication, a copy behind, commits nothing and never goes back")
 {
     replication_state state("own", {"own", "copy"});
--- a/tests/core/ownership_schedule.cpp
+++ b/tests/core/ownership_schedule.cpp
@@ -123,6 +123,7 @@
     message.epoch = by.owner->place.epoch;
     message.place = from;
     message.previous_epoch = by.log.epoch_before(from);
+    message.total = by.log.records().size();
     auto records = by.log.records().subspan(from);
     message.records.assign(records.begin(), records.end());
     constexpr std::uint64_t lost_one_in = 8;
@@ -144,6 +145,8 @@
                                    to->log.records().end());
     auto result =
         to->log.append(message.place, message.previous_epoch, message.records);
+    if (result == append_result::appended)
+        to->log.drop_tail(message.total, message.epoch);
     std::uint64_t same = 0;
     auto after = to->log.records();
     while (same < before.size() && same < after.size() &&
@@ -393,6 +396,9 @@
         return;
     }
     auto records = owner->log.records();
+    // After a calm time nothing may wait for a copy any more.
+    if (owner->owner->replication.committed("job") < records.size())
+        this->wrong = "records of the last owner are not committed";
     for (std::size_t place = 0; place < this->shown.size(); place++)
         if (place >= records.size() || records[place] != this->shown[place])
         {
--- a/tests/core/ownership_schedule.hpp
+++ b/tests/core/ownership_schedule.hpp
@@ -73,6 +73,7 @@
         std::uint64_t epoch = 0;
         std::uint64_t place = 0;
         std::uint64_t previous_epoch = 0;
+        std::uint64_t total = 0;
         std::vector<core::batches::record_ptr> records;
     };
 
