host: Renew a registration that is gone behind the host's back

A host that registered while the store's answers were lost and late could be bound by the late write to a lease that nobody renews; its registration was gone for good, and entries of other zones no longer found it. Change: registrations are conditional on the revision that is known; a host that misses its own writes it again at its next renewal.

--- a/source/host/host_runtime.cpp
+++ b/source/host/host_runtime.cpp
@@ -385,10 +385,13 @@
     self.region = this->own.region;
     self.disk = this->disk;
     self.incarnation = this->start_number;
+    auto key = this->registration_key();
+    const auto* known = this->copy(copied_part::own).find(key);
     store::change wanted;
-    wanted.writes.push_back(
-        {this->layout.own_prefix + "hosts/" + this->own.name,
-         pack_registration(self), granted});
+    // Without the condition a write that was given up and takes effect later
+    // would bind the key to a lease that nobody renews.
+    wanted.conditions.push_back({key, known == nullptr ? 0 : known->revision});
+    wanted.writes.push_back({key, pack_registration(self), granted});
     this->store.commit(wanted,
                        [this, granted](const store::change_result& got)
                        {
@@ -402,8 +405,29 @@
                        });
 }
 
+std::string host_runtime::registration_key() const
+{
+    return this->layout.own_prefix + "hosts/" + this->own.name;
+}
+
+bool host_runtime::registration_missing() const
+{
+    const auto& known = this->copy(copied_part::own);
+    if (known.failing() || known.as_of() == 0)
+        return false;
+    const auto* entry = known.find(this->registration_key());
+    auto listed =
+        entry == nullptr ? std::nullopt : unpack_registration(entry->value);
+    return !listed || listed->incarnation != this->start_number;
+}
+
 void host_runtime::renew()
 {
+    if (this->registration_missing())
+    {
+        logging::event(logging::level::warning, "registration_missing");
+        return this->register_host();
+    }
     this->store.renew(this->lease,
                       [this](const store::lease_result& got)
                       {
--- a/source/host/host_runtime.hpp
+++ b/source/host/host_runtime.hpp
@@ -95,6 +95,8 @@
     void register_host();
     void write_registration(std::uint64_t lease);
     void renew();
+    std::string registration_key() const;
+    bool registration_missing() const;
     void schedule_registration(core::milliseconds after,
                                std::function<void()> step);
     void schedule_check();
--- a/tests/platform/batch_path_test.cpp
+++ b/tests/platform/batch_path_test.cpp
@@ -276,3 +276,21 @@
         },
         10s));
 }
+
+TEST_CASE_METHOD(batch_path,
+                 "registration, gone behind a host's back, is renewed")
+{
+    REQUIRE(this->submit_eventually("job1", {"a"}));
+    auto owner =
+        this->host_of_disk(this->place("job1").at("owner").get<std::string>());
+    auto key = "hatch/hosts/" + this->fleet.batch_hosts[owner].name;
+    fleet::admin(this->fleet.store, {{"remove", {key}}});
+    CHECK(fleet::eventually(
+        [&]
+        {
+            auto values = fleet::counters(this->fleet.store).at("values");
+            return values.contains(key);
+        },
+        15s));
+    CHECK(this->finished("job1", 1));
+}
