tests: Reserve ports across test programs

Cause: two test programs could choose the same free port, as the choice was only kept within a process; a refusal test once read another fixture's metrics (KNOWN-RED, not traced to this, but the only way found by reading). Ruled out: a counter that wasn't written; the same test passed alone before and after. Change: a port is reserved by a lock file for as long as the program runs. Before: the new fixture test failed, both programs chose the same port. After: it passes.

--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -3,9 +3,11 @@
 #include <arpa/inet.h>
 #include <csignal>
 #include <cstdio>
+#include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
+#include <sys/file.h>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -36,6 +38,29 @@
     return bound;
 }
 
+// Takes the port from all other test programs of this user for as long as this
+// one runs: the lock goes with the process, and started programs don't hold it.
+bool reserve(std::uint16_t port)
+{
+    static const std::string folder = []
+    {
+        auto made = std::filesystem::temp_directory_path() /
+                    ("hatch-ports-" + std::to_string(getuid()));
+        std::filesystem::create_directories(made);
+        return made.string();
+    }();
+    std::string path = folder + "/" + std::to_string(port);
+    int lock = open(path.c_str(), O_CREAT | O_RDWR | O_CLOEXEC, 0600);
+    if (lock < 0)
+        throw errors::failure("reserve a port", path,
+                              "the lock file can't be opened; remove \"" +
+                                  folder + "\"");
+    if (flock(lock, LOCK_EX | LOCK_NB) == 0)
+        return true;
+    close(lock);
+    return false;
+}
+
 std::string quoted_list(const std::vector<node>& nodes)
 {
     std::string text = "[";
@@ -70,7 +95,7 @@
     {
         auto port =
             static_cast<std::uint16_t>(first_port + next++ % port_count);
-        if (is_free(port))
+        if (reserve(port) && is_free(port))
             return "127.0.0.1:" + std::to_string(port);
     }
 }
