batches: Even out owners and copies after a lost host

Ruled out: the endpoints (requests were late only in the second after the loss, when runs of the lost host still held slots) and the store (a write of the placement took 10 ms). Change: placement_balance counts what each disk carries and proposes moves and heirs; owners hand over partitions without open work and move one copy at a time; replacements go to the disk that carries the least. An owner that hands over serves nothing until the write's end is known. A new owner does not wait for copies that are lost.

--- a/source/batches/partition_owner.cpp
+++ b/source/batches/partition_owner.cpp
@@ -163,6 +163,33 @@
     this->tick();
 }
 
+bool partition_owner::idle() const
+{
+    bool even = std::all_of(this->copies.begin(), this->copies.end(),
+                            [](const auto& each)
+                            {
+                                return each.second.phase == copy_phase::known &&
+                                       each.second.behind.empty() &&
+                                       !each.second.sending;
+                            });
+    if (!even || !this->recovered())
+        return false;
+    auto known = this->jobs.jobs_of(this->partition);
+    return std::all_of(known.begin(), known.end(),
+                       [this](const auto& id)
+                       {
+                           const auto* log = this->jobs.find(id);
+                           return log->submitted() != nullptr &&
+                                  log->closed() &&
+                                  this->committed(id) == log->records().size();
+                       });
+}
+
+core::milliseconds partition_owner::served_for() const
+{
+    return host::boot_now() - this->started;
+}
+
 void partition_owner::call(const std::string& disk, std::string path,
                            std::string body, core::milliseconds limit,
                            std::function<void(std::optional<std::string>)> done)
@@ -284,11 +311,20 @@
     this->tick();
 }
 
+// A committed record lies on every copy, so that a new owner misses nothing
+// that was shown when it doesn't hear from one. It waits for live copies only
+// to keep what was on its way.
+bool partition_owner::lost(const std::string& disk) const
+{
+    const auto* peer = this->runtime.peers().locate_disk(disk);
+    return peer == nullptr || host::boot_now() - peer->heard > replace_time;
+}
+
 bool partition_owner::all_copies_heard() const
 {
     for (const auto& disk : this->place.copies)
     {
-        if (disk == this->jobs.disk_identity())
+        if (disk == this->jobs.disk_identity() || this->lost(disk))
             continue;
         auto found = this->copies.find(disk);
         if (found == this->copies.end() ||
--- a/source/batches/partition_owner.hpp
+++ b/source/batches/partition_owner.hpp
@@ -39,10 +39,11 @@
     std::uint64_t epoch() const { return this->place.epoch; }
 
     /// @brief True while records may be added: not before the copies have
-    /// been asked, and not after another owner's epoch was seen here.
+    /// been asked, not on hold, and not after another owner's epoch was seen
+    /// here.
     bool serving() const
     {
-        return this->accepts &&
+        return this->accepts && !this->on_hold &&
                this->jobs.epoch(this->partition) == this->place.epoch;
     }
 
@@ -79,6 +80,17 @@
     /// @brief Takes over a changed list of copies of the same epoch.
     void set_copies(std::vector<std::string> copies);
 
+    /// @brief Serves nothing until released, as an heir may serve already.
+    void hold() { this->on_hold = true; }
+    void release() { this->on_hold = false; }
+    bool held() const { return this->on_hold; }
+
+    /// @brief True where no job is open and every copy has every record.
+    bool idle() const;
+
+    /// @brief How long this host has owned the partition.
+    core::milliseconds served_for() const;
+
     /// @brief Sends what waits; to be called often.
     void tick();
 
@@ -110,6 +122,7 @@
               std::function<void(std::optional<std::string>)> done);
     void begin_serving();
     bool all_copies_heard() const;
+    bool lost(const std::string& disk) const;
     void check_committed(const std::string& job);
     void check_all_committed();
     void note_behind(const std::string& job);
@@ -126,6 +139,7 @@
     core::instant started{};
     bool accepts = false;
     bool stopped = false;
+    bool on_hold = false;
 };
 
 } // namespace amaranthhatch::batches
--- a/source/batches/placement_agent.cpp
+++ b/source/batches/placement_agent.cpp
@@ -26,6 +26,10 @@
 constexpr core::milliseconds gather_time{1500};
 // Copies claim one after the other, so that two seldom race.
 constexpr core::milliseconds claim_step{400};
+// An owner moves nothing to even out the disks before it has served this
+// long, a few beacons of every host: until then what it knows of the others
+// may date from the disturbance that made it the owner.
+constexpr core::milliseconds settle_time{1000};
 
 } // namespace
 
@@ -124,18 +128,30 @@
     this->drop_strays();
     if (this->committing || now < this->commit_after)
         return;
-    auto next = *this->current;
+    if (this->unsettled)
+        return this->commit(model::placement(*this->unsettled));
+    this->consider(this->disk_hosts());
+}
+
+void placement_agent::consider(const std::vector<model::disk_host>& hosts)
+{
+    plan of{*this->current, hosts, {*this->current, hosts}};
     bool changed = false;
-    for (std::size_t at = 0; at < next.partitions.size(); at++)
+    for (std::size_t at = 0; at < of.next.partitions.size(); at++)
     {
         const auto& place = this->current->partitions[at];
+        bool here = false;
         if (place.owner_disk == this->jobs.disk_identity())
-            this->consider_owned(at, next, changed);
+            here = this->consider_owned(at, of);
         else if (place.holds(this->jobs.disk_identity()))
-            this->consider_copy(at, next, changed);
+            here = this->consider_copy(at, of);
+        if (!here)
+            continue;
+        of.balance = {of.next, hosts};
+        changed = true;
     }
     if (changed)
-        this->commit(next);
+        this->commit(of.next);
 }
 
 void placement_agent::adopt_copy()
@@ -150,6 +166,15 @@
     this->current = std::move(parsed);
     this->revision = found->revision;
     this->jobs.set_partitions(this->current->partitions.size());
+    this->release_owners();
+}
+
+// With a newer revision no earlier write can take effect any more.
+void placement_agent::release_owners()
+{
+    this->unsettled.reset();
+    for (const auto& [partition, owner] : this->owners)
+        owner->release();
 }
 
 void placement_agent::follow()
@@ -197,59 +222,104 @@
         this->commit(*first);
 }
 
-void placement_agent::consider_owned(std::size_t partition,
-                                     model::placement& next, bool& changed)
+bool placement_agent::consider_owned(std::size_t partition, plan& of)
 {
-    auto& place = next.partitions[partition];
+    auto& place = of.next.partitions[partition];
     if (place.owner_incarnation != this->runtime.incarnation())
     {
         // This process was started anew and finds its disk named as owner.
         place.epoch++;
         place.owner_incarnation = this->runtime.incarnation();
-        changed = true;
-        return;
+        return true;
     }
-    auto owner = this->owners.find(partition);
-    if (owner == this->owners.end() || !owner->second->serving())
-        return;
-    std::string replaced;
-    for (const auto& disk : place.copies)
+    auto found = this->owners.find(partition);
+    if (found == this->owners.end() || !found->second->serving())
+        return false;
+    auto& owner = *found->second;
+    auto wanted = this->wanted_move(partition, owner, of);
+    if (!wanted)
     {
-        bool lost = disk != this->jobs.disk_identity() &&
-                    this->silent(disk, replace_time);
-        if (lost || (replaced.empty() && this->retires(disk)))
-            replaced = disk;
+        owner.teach({});
+        return this->hand_over(partition, owner, of);
     }
-    if (replaced.empty())
-        return owner->second->teach({});
-    auto hosts = this->disk_hosts();
-    const auto& learner = owner->second->learner();
-    bool learner_lives = !learner.empty() &&
-                         !this->silent(learner, replace_time) &&
-                         !this->retires(learner);
-    if (!learner_lives)
+    const auto& learner = owner.learner();
+    bool usable = !learner.empty() && !this->silent(learner, replace_time) &&
+                  !this->retires(learner) &&
+                  (wanted->to.empty() || wanted->to == learner);
+    if (!usable)
     {
-        const auto* host = model::choose_replacement(
-            place, replaced, this->runtime.settings().region, hosts);
-        owner->second->teach(host == nullptr ? "" : host->disk);
-        return;
+        this->teach(owner, *wanted, of);
+        return false;
     }
-    if (!owner->second->learner_ready())
-        return;
+    return owner.learner_ready() &&
+           this->replace_copy(partition, owner, wanted->from, of);
+}
+
+// A copy that is lost or to be emptied goes before one that only moves to
+// even out the disks; its new place isn't chosen yet.
+std::optional<model::copy_move>
+placement_agent::wanted_move(std::size_t partition, partition_owner& owner,
+                             const plan& of)
+{
+    std::optional<model::copy_move> retired;
+    for (const auto& disk : of.next.partitions[partition].copies)
+    {
+        bool lost = disk != this->jobs.disk_identity() &&
+                    this->silent(disk, replace_time);
+        if (lost)
+            return model::copy_move{disk, {}};
+        if (!retired && this->retires(disk))
+            retired = model::copy_move{disk, {}};
+    }
+    return retired ? retired : this->even_out(partition, owner, of);
+}
+
+std::optional<model::copy_move>
+placement_agent::even_out(std::size_t partition, const partition_owner& owner,
+                          const plan& of)
+{
+    if (this->moving && this->moving->partition != partition)
+        return std::nullopt;
+    this->moving.reset();
+    if (owner.served_for() < settle_time || !owner.holds_lease())
+        return std::nullopt;
+    auto wanted = of.balance.choose_move(of.next.partitions[partition]);
+    if (wanted)
+        this->moving = running_move{partition, *wanted};
+    return wanted;
+}
+
+void placement_agent::teach(partition_owner& owner,
+                            const model::copy_move& wanted, const plan& of)
+{
+    if (!wanted.to.empty())
+        return owner.teach(wanted.to);
+    const auto* host = of.balance.choose_replacement(
+        owner.placed(), wanted.from, this->runtime.settings().region);
+    owner.teach(host == nullptr ? "" : host->disk);
+}
+
+bool placement_agent::replace_copy(std::size_t partition,
+                                   partition_owner& owner,
+                                   const std::string& replaced, plan& of)
+{
+    auto& place = of.next.partitions[partition];
     // From here on the learner counts, whichever placement the write leaves.
-    owner->second->require_learner();
-    std::replace(place.copies.begin(), place.copies.end(), replaced, learner);
+    owner.require_learner();
+    std::replace(place.copies.begin(), place.copies.end(), replaced,
+                 owner.learner());
     if (replaced == this->jobs.disk_identity())
     {
         // The owner itself is emptied: a copy that has all goes on.
-        auto heir = std::find_if(hosts.begin(), hosts.end(),
+        auto heir = std::find_if(of.hosts.begin(), of.hosts.end(),
                                  [&](const auto& each)
                                  { return place.holds(each.disk); });
-        if (heir == hosts.end())
+        if (heir == of.hosts.end())
         {
             place = this->current->partitions[partition];
-            return;
+            return false;
         }
+        owner.hold();
         place.epoch++;
         place.owner_disk = heir->disk;
         place.owner_incarnation = heir->incarnation;
@@ -257,14 +327,36 @@
     logging::event(logging::level::info, "copy_replaced")
         .with("partition", static_cast<std::int64_t>(partition))
         .with("lost", replaced)
-        .with("by", learner);
-    changed = true;
+        .with("by", owner.learner());
+    return true;
 }
 
-void placement_agent::consider_copy(std::size_t partition,
-                                    model::placement& next, bool& changed)
+// Only partitions without open work change hands, so that no item starts
+// anew for it.
+bool placement_agent::hand_over(std::size_t partition, partition_owner& owner,
+                                plan& of)
 {
-    auto& place = next.partitions[partition];
+    auto& place = of.next.partitions[partition];
+    if (owner.served_for() < settle_time || !owner.holds_lease() ||
+        !owner.idle())
+        return false;
+    const auto* heir = of.balance.choose_heir(place);
+    if (heir == nullptr)
+        return false;
+    owner.hold();
+    place.epoch++;
+    place.owner_disk = heir->disk;
+    place.owner_incarnation = heir->incarnation;
+    logging::event(logging::level::info, "owner_changed")
+        .with("partition", static_cast<std::int64_t>(partition))
+        .with("heir", heir->disk)
+        .with("epoch", static_cast<std::int64_t>(place.epoch));
+    return true;
+}
+
+bool placement_agent::consider_copy(std::size_t partition, plan& of)
+{
+    auto& place = of.next.partitions[partition];
     auto rank = std::find(place.copies.begin(), place.copies.end(),
                           this->jobs.disk_identity()) -
                 place.copies.begin();
@@ -276,7 +368,7 @@
     if (known.epoch != place.epoch)
         known = {place.epoch, now};
     if (now - known.since < limit || !this->silent(place.owner_disk, limit))
-        return;
+        return false;
     logging::event(logging::level::warning, "owner_silent")
         .with("partition", static_cast<std::int64_t>(partition))
         .with("owner", place.owner_disk)
@@ -284,7 +376,7 @@
     place.epoch++;
     place.owner_disk = this->jobs.disk_identity();
     place.owner_incarnation = this->runtime.incarnation();
-    changed = true;
+    return true;
 }
 
 void placement_agent::commit(const model::placement& next)
@@ -294,24 +386,33 @@
     wanted.conditions.push_back({this->key(), this->revision});
     wanted.writes.push_back({this->key(), placement_text(next), 0});
     this->runtime.shared_store().commit(
-        wanted,
-        [this, next](const store::change_result& got)
-        {
-            this->committing = false;
-            logging::event(logging::level::info, "placement_proposed")
-                .with("result", store::outcome_name(got.result))
-                .with("revision", static_cast<std::int64_t>(got.revision));
-            if (got.result != store::outcome::done ||
-                got.revision <= this->revision)
-            {
-                this->commit_after = host::boot_now() + commit_pause;
-                return;
-            }
-            this->current = next;
-            this->revision = got.revision;
-            this->jobs.set_partitions(next.partitions.size());
-            this->follow();
-        });
+        wanted, [this, next](const store::change_result& got)
+        { this->on_commit_end(next, got); });
+}
+
+void placement_agent::on_commit_end(const model::placement& next,
+                                    const store::change_result& got)
+{
+    this->committing = false;
+    logging::event(logging::level::info, "placement_proposed")
+        .with("result", store::outcome_name(got.result))
+        .with("revision", static_cast<std::int64_t>(got.revision));
+    if (got.result == store::outcome::done && got.revision > this->revision)
+    {
+        this->current = next;
+        this->revision = got.revision;
+        this->jobs.set_partitions(next.partitions.size());
+        this->release_owners();
+        return this->follow();
+    }
+    this->commit_after = host::boot_now() + commit_pause;
+    bool holding =
+        std::any_of(this->owners.begin(), this->owners.end(),
+                    [](const auto& each) { return each.second->held(); });
+    if (got.result == store::outcome::unknown && holding)
+        this->unsettled = next;
+    else if (got.result == store::outcome::refused && !this->unsettled)
+        this->release_owners();
 }
 
 bool placement_agent::is_stray(const std::string& job,
--- a/source/batches/placement_agent.hpp
+++ b/source/batches/placement_agent.hpp
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "batches/partition_owner.hpp"
-#include "core/batches/placement.hpp"
+#include "core/batches/placement_balance.hpp"
 #include "host/host_runtime.hpp"
 
 namespace amaranthhatch::batches
@@ -19,7 +19,8 @@
 ///
 /// All changes go through the store by compare-and-swap on one key. A host
 /// claims what the silent owner of a partition leaves behind, resumes its own
-/// after a restart, and gives copies on lost or retiring disks a new place.
+/// after a restart, gives copies on lost or retiring disks a new place, and
+/// evens out what the disks carry, so that a lost host takes little along.
 class placement_agent
 {
 public:
@@ -53,14 +54,41 @@
         core::instant since{};
     };
 
+    /// @brief The next placement while it is put together.
+    struct plan
+    {
+        core::batches::placement next;
+        const std::vector<core::batches::disk_host>& hosts;
+        core::batches::placement_balance balance;
+    };
+
+    /// @brief The one copy that this host moves to even out the disks.
+    struct running_move
+    {
+        std::size_t partition = 0;
+        core::batches::copy_move what;
+    };
+
     void adopt_copy();
     void follow();
     void propose_first();
-    void consider_owned(std::size_t partition, core::batches::placement& next,
-                        bool& changed);
-    void consider_copy(std::size_t partition, core::batches::placement& next,
-                       bool& changed);
+    void consider(const std::vector<core::batches::disk_host>& hosts);
+    bool consider_owned(std::size_t partition, plan& of);
+    bool consider_copy(std::size_t partition, plan& of);
+    std::optional<core::batches::copy_move>
+    wanted_move(std::size_t partition, partition_owner& owner, const plan& of);
+    std::optional<core::batches::copy_move>
+    even_out(std::size_t partition, const partition_owner& owner,
+             const plan& of);
+    void teach(partition_owner& owner, const core::batches::copy_move& wanted,
+               const plan& of);
+    bool replace_copy(std::size_t partition, partition_owner& owner,
+                      const std::string& replaced, plan& of);
+    bool hand_over(std::size_t partition, partition_owner& owner, plan& of);
     void commit(const core::batches::placement& next);
+    void on_commit_end(const core::batches::placement& next,
+                       const store::change_result& got);
+    void release_owners();
     void drop_strays();
     bool is_stray(const std::string& job, core::milliseconds unheld,
                   core::milliseconds untouched) const;
@@ -84,6 +112,10 @@
     core::instant listening_since{};
     bool committing = false;
     core::instant commit_after{};
+    std::optional<running_move> moving;
+    /// A write that hands partitions over and whose end isn't known. Their
+    /// owners stay on hold until it is, as the heirs may serve already.
+    std::optional<core::batches::placement> unsettled;
 };
 
 } // namespace amaranthhatch::batches
--- a/source/core/batches/placement.hpp
+++ b/source/core/batches/placement.hpp
@@ -66,19 +66,4 @@
 /// may be old, so that only what nobody can ask for any more may go.
 bool may_forget(const stray_view& job);
 
-/// @brief The first placement: spread over hosts, copies in different zones.
-///
-/// Nothing where fewer than copies hosts are there.
-std::optional<placement> first_placement(std::size_t partitions,
-                                         std::size_t copies,
-                                         const std::vector<disk_host>& hosts);
-
-/// @brief The host that takes the place of one copy, or null.
-///
-/// Zones that have no other copy go first, then the owner's region.
-const disk_host* choose_replacement(const partition_place& from,
-                                    std::string_view replaced,
-                                    std::string_view owner_region,
-                                    const std::vector<disk_host>& hosts);
-
 } // namespace amaranthhatch::core::batches
--- a/tests/core/job_log_test.cpp
+++ b/tests/core/job_log_test.cpp
@@ -1,7 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "core/batches/job_log.hpp"
-#include "core/batches/placement.hpp"
+#include "core/batches/placement_balance.hpp"
 #include "core/batches/replication_state.hpp"
 
 using namespace amaranthhatch::core::batches;
@@ -183,13 +183,14 @@
 {
     auto hosts = four_hosts();
     partition_place place{1, "d1", 1, {"d1", "d2"}};
-    const auto* found = choose_replacement(place, "d2", "r1", hosts);
+    placement_balance balance({{place}}, hosts);
+    const auto* found = balance.choose_replacement(place, "d2", "r1");
     REQUIRE(found != nullptr);
     CHECK(found->disk == "d3");
     hosts[2].keeps = false;
-    found = choose_replacement(place, "d2", "r1", hosts);
+    found = balance.choose_replacement(place, "d2", "r1");
     REQUIRE(found != nullptr);
     CHECK(found->disk == "d4");
     hosts[3].keeps = false;
-    CHECK(choose_replacement(place, "d2", "r1", hosts) == nullptr);
+    CHECK(balance.choose_replacement(place, "d2", "r1") == nullptr);
 }
--- a/tests/core/ownership_schedule.cpp
+++ b/tests/core/ownership_schedule.cpp
@@ -66,6 +66,7 @@
     by.owner = owner_state{this->stored,
                            replication_state(by.disk, this->stored.copies),
                            false,
+                           {},
                            {}};
     by.epoch = std::max(by.epoch, this->stored.epoch);
     this->reconcile(by);
@@ -250,18 +251,31 @@
     }
 }
 
-void ownership_schedule::consider_replacement(host& by)
+std::string ownership_schedule::choose_replaced(host& by)
 {
     auto& owned = *by.owner;
-    if (owned.place.epoch != this->stored.epoch)
-        return;
-    std::string lost;
     for (const auto& disk : owned.place.copies)
     {
         auto* other = this->by_disk(disk);
         if (disk != by.disk && (other == nullptr || !other->alive))
-            lost = disk;
+            return disk;
     }
+    constexpr std::uint64_t move_one_in = 40;
+    if (owned.moving.empty() && this->pick(move_one_in) == 0)
+        for (const auto& disk : owned.place.copies)
+            if (disk != by.disk)
+                owned.moving = disk;
+    if (!owned.place.holds(owned.moving))
+        owned.moving.clear();
+    return owned.moving;
+}
+
+void ownership_schedule::consider_replacement(host& by)
+{
+    auto& owned = *by.owner;
+    if (owned.place.epoch != this->stored.epoch)
+        return;
+    auto lost = this->choose_replaced(by);
     if (lost.empty())
     {
         owned.learner.clear();
--- a/tests/core/ownership_schedule.hpp
+++ b/tests/core/ownership_schedule.hpp
@@ -51,6 +51,8 @@
         core::batches::replication_state replication;
         bool serving = false;
         std::string learner;
+        /// A live copy that moves to even out the disks, or empty.
+        std::string moving;
     };
 
     struct host
@@ -90,6 +92,7 @@
     void restart(host& which, bool power_loss, bool wiped);
     void consider_takeover();
     void consider_replacement(host& by);
+    std::string choose_replaced(host& by);
     void check_final();
     bool may_lose_disks() const;
     std::string pick_host();
