store: Never take over entries that another host only keeps

A host that had been turned away by the store kept every entry that vanished within 2.3 s of its return, also one removed later, and its copy of the entries gave them to other hosts, which had seen the endpoint go (copy_adopted part=2 from frontend-poa-a-1 to sp-a-3, sp-a-2; the request came 2.5 s after the removal). Ruled out: stale reads (none are asked for); the readers' interval (0.83 s). Found beside it: a removal didn't raise a copy's newest change, so that hosts that follow a reader learned of it by their own reads only, about one a 1.7 s and host, which are also what most store calls were. Change: only what the first listing after an outage lacks can have lapsed; copies name such keys but don't give the entries; a removal raises the newest change; followers read the store themselves only while a newer copy is known that they can't get.

--- a/source/host/host_runtime.cpp
+++ b/source/host/host_runtime.cpp
@@ -44,6 +44,11 @@
     return std::min(from.heartbeat, from.drain / reads_in_drain);
 }
 
+bool is_polled(std::size_t part)
+{
+    return part == static_cast<std::size_t>(copied_part::endpoints);
+}
+
 std::uint64_t random_number()
 {
     return static_cast<std::uint64_t>(uniform() * 9007199254740992.0) + 1;
@@ -72,7 +77,7 @@
                   each();
           }),
       listeners(part_count), check_timer(loop), registration_timer(loop),
-      pulling(part_count, false)
+      pulling(part_count, false), behind_since(part_count)
 {
     auto add = [this](store::mirror_options options)
     {
@@ -272,44 +277,55 @@
     bool reads = this->peer_hosts.reads_for_zone(now);
     for (std::size_t part = 0; part < part_count; part++)
     {
-        bool polled = part == static_cast<std::size_t>(copied_part::endpoints);
         // Hosts with a disk act on the placement and wait for nobody.
-        this->copies[part]->set_active(reads ||
-                                       (!polled && !this->disk.empty()));
-    }
-    for (std::size_t part = 0; part < part_count; part++)
-    {
-        auto& copy = *this->copies[part];
-        if (this->pulling[part])
-            continue;
-        const core::peers::peer* newest = nullptr;
-        for (const auto& [name, peer] : this->peer_hosts.all())
-        {
-            if (!this->peer_hosts.alive(peer, now) ||
-                peer.copies.size() != part_count)
-                continue;
-            // Missing a change, as on a silent connection, counts as well as
-            // a store that doesn't answer. Bytes between zones are priced, so
-            // other zones are asked only where nothing else helps.
-            const auto& theirs = peer.copies[part];
-            bool near = peer.zone == this->own.zone || copy.failing();
-            bool newer = theirs.changed > copy.changed() ||
-                         (copy.failing() && theirs.as_of > copy.as_of());
-            bool polled =
-                part == static_cast<std::size_t>(copied_part::endpoints);
-            if (!newer || (polled && !near))
-                continue;
-            if (newest == nullptr || theirs.as_of > newest->copies[part].as_of)
-                newest = &peer;
-        }
-        if (newest != nullptr)
-            this->pull(part, newest->name, newest->address);
+        bool waits_for_none = !is_polled(part) && !this->disk.empty();
+        bool behind = this->behind_since[part].count() > 0 &&
+                      now - this->behind_since[part] > pull_limit;
+        this->copies[part]->set_active(reads || waits_for_none || behind);
+        this->follow_peers(part, now);
     }
     bool knows_nothing = this->copy(copied_part::configuration).as_of() == 0;
     if (knows_nothing && this->copies[0]->failing())
         this->pull_from_seeds();
 }
 
+const core::peers::peer* host_runtime::newest_copy(std::size_t part,
+                                                   core::instant now) const
+{
+    const auto& copy = *this->copies[part];
+    const core::peers::peer* newest = nullptr;
+    for (const auto& [name, peer] : this->peer_hosts.all())
+    {
+        if (!this->peer_hosts.alive(peer, now) ||
+            peer.copies.size() != part_count)
+            continue;
+        // Missing a change, as on a silent connection, counts as well as a
+        // store that doesn't answer. Bytes between zones are priced, so other
+        // zones are asked only where nothing else helps.
+        const auto& theirs = peer.copies[part];
+        bool near = peer.zone == this->own.zone || copy.failing();
+        bool newer = theirs.changed > copy.changed() ||
+                     (copy.failing() && theirs.as_of > copy.as_of());
+        if (!newer || (is_polled(part) && !near))
+            continue;
+        if (newest == nullptr || theirs.as_of > newest->copies[part].as_of)
+            newest = &peer;
+    }
+    return newest;
+}
+
+void host_runtime::follow_peers(std::size_t part, core::instant now)
+{
+    const auto* newest = this->newest_copy(part, now);
+    auto& behind = this->behind_since[part];
+    if (newest == nullptr)
+        behind = {};
+    else if (behind.count() == 0)
+        behind = now;
+    if (newest != nullptr && !this->pulling[part])
+        this->pull(part, newest->name, newest->address);
+}
+
 void host_runtime::pull(std::size_t part, const std::string& key,
                         const std::string& address)
 {
--- a/source/host/host_runtime.hpp
+++ b/source/host/host_runtime.hpp
@@ -89,6 +89,9 @@
     void answer_copy(http::server_exchange& exchange) const;
     void on_own_change();
     void check_copies();
+    const core::peers::peer* newest_copy(std::size_t part,
+                                         core::instant now) const;
+    void follow_peers(std::size_t part, core::instant now);
     void pull(std::size_t part, const std::string& key,
               const std::string& address);
     void pull_from_seeds();
@@ -122,6 +125,8 @@
     boost::asio::steady_timer check_timer;
     boost::asio::steady_timer registration_timer;
     std::vector<bool> pulling;
+    /// Since when a newer copy is known and hasn't arrived; zero: not so.
+    std::vector<core::instant> behind_since;
     std::uint64_t lease = 0;
     std::size_t next_seed = 0;
     bool leaving = false;
--- a/source/peers/packing.cpp
+++ b/source/peers/packing.cpp
@@ -1,8 +1,6 @@
 #include "peers/packing.hpp"
 
-#include <msgpack.hpp>
-
-#include "logging/event.hpp"
+#include "packing/bytes.hpp"
 
 namespace amaranthhatch::peers
 {
@@ -10,6 +8,9 @@
 namespace
 {
 
+using packing::from_bytes;
+using packing::to_bytes;
+
 // Changes whenever the fields below do, so that hosts of two releases ignore
 // each other's beacons instead of misreading them.
 constexpr std::uint32_t format = 3;
@@ -71,35 +72,10 @@
 {
     std::uint64_t revision = 0;
     std::vector<packed_entry> entries;
-    MSGPACK_DEFINE(revision, entries)
+    std::vector<std::string> lapsed;
+    MSGPACK_DEFINE(revision, entries, lapsed)
 };
 
-template <typename Packed>
-std::string to_bytes(const Packed& from)
-{
-    msgpack::sbuffer buffer;
-    msgpack::pack(buffer, from);
-    return {buffer.data(), buffer.size()};
-}
-
-template <typename Packed>
-std::optional<Packed> from_bytes(std::string_view bytes, std::string_view what)
-{
-    try
-    {
-        Packed out;
-        msgpack::unpack(bytes.data(), bytes.size()).get().convert(out);
-        return out;
-    }
-    catch (const std::exception& error)
-    {
-        logging::event(logging::level::warning, "peer_message_unreadable")
-            .with("what", what)
-            .with("detail", error.what());
-        return std::nullopt;
-    }
-}
-
 } // namespace
 
 std::string pack(const core::peers::beacon& from)
@@ -160,6 +136,7 @@
     out.revision = from.revision;
     for (const auto& each : from.entries)
         out.entries.push_back({each.key, each.value, each.revision});
+    out.lapsed = from.lapsed;
     return to_bytes(out);
 }
 
@@ -168,7 +145,7 @@
     auto in = from_bytes<packed_listing>(bytes, "listing");
     if (!in)
         return std::nullopt;
-    store::listing out{store::outcome::done, in->revision, {}};
+    store::listing out{store::outcome::done, in->revision, {}, in->lapsed};
     for (const auto& each : in->entries)
         out.entries.push_back({each.key, each.value, each.revision, false});
     return out;
--- a/source/store/async_store.hpp
+++ b/source/store/async_store.hpp
@@ -45,6 +45,9 @@
     /// The store's revision when it answered; later changes are newer.
     std::uint64_t revision = 0;
     std::vector<entry> entries;
+    /// Keys that were gone after an outage and may come back; only copies of
+    /// other hosts say so.
+    std::vector<std::string> lapsed = {};
 };
 
 /// @brief A key that must stand at a revision; 0 says it must not exist.
--- a/source/store/mirror.cpp
+++ b/source/store/mirror.cpp
@@ -115,14 +115,26 @@
     this->watch();
 }
 
-bool mirror::keeps_removed(core::instant now) const
+// Only what was gone right after an outage can have lapsed in it; what goes
+// later was removed.
+bool mirror::keeps(const std::string& key, const listing& got,
+                   core::instant now)
 {
-    return now < this->keep_removed_until;
+    auto known_lapsed = this->lapsed.find(key);
+    if (known_lapsed != this->lapsed.end())
+        return now < known_lapsed->second;
+    bool told = std::find(got.lapsed.begin(), got.lapsed.end(), key) !=
+                got.lapsed.end();
+    if (!told && !this->after_outage)
+        return false;
+    this->lapsed[key] = now + this->options.removal_grace;
+    return true;
 }
 
 void mirror::replace(const listing& got)
 {
     bool changed = false;
+    auto now = host::boot_now();
     std::map<std::string, entry, std::less<>> next;
     for (const auto& each : got.entries)
     {
@@ -133,24 +145,46 @@
         this->changed_revision =
             std::max(this->changed_revision, each.revision);
         next[each.key] = same ? found->second : each;
+        this->lapsed.erase(each.key);
     }
-    bool keep = this->keeps_removed(host::boot_now());
     for (const auto& [key, old] : this->known)
     {
         if (next.contains(key))
             continue;
-        if (keep)
+        if (this->keeps(key, got, now))
+        {
             next[key] = old;
-        else
-            changed = true;
+            continue;
+        }
+        changed = true;
+        this->lapsed.erase(key);
+        // Hosts that follow this copy learn of removals by this revision.
+        this->changed_revision = std::max(this->changed_revision, got.revision);
     }
+    this->after_outage = false;
     this->known = std::move(next);
-    this->fresh_at = host::boot_now();
+    this->fresh_at = now;
     this->as_of_revision = got.revision;
     if (changed)
         this->report_change();
 }
 
+void mirror::drop_lapsed()
+{
+    auto now = host::boot_now();
+    bool changed = false;
+    for (auto at = this->lapsed.begin(); at != this->lapsed.end();)
+    {
+        bool over = now >= at->second;
+        if (over)
+            this->known.erase(at->first);
+        changed = changed || over;
+        at = over ? this->lapsed.erase(at) : std::next(at);
+    }
+    if (changed)
+        this->report_change();
+}
+
 bool mirror::adopt(const listing& theirs)
 {
     if (theirs.revision <= this->as_of_revision)
@@ -169,7 +203,10 @@
 {
     listing out{outcome::done, this->as_of_revision, {}};
     for (const auto& [key, each] : this->known)
-        out.entries.push_back(each);
+        if (this->lapsed.contains(key))
+            out.lapsed.push_back(key);
+        else
+            out.entries.push_back(each);
     return out;
 }
 
@@ -177,14 +214,16 @@
 {
     if (this->failures == 0)
         return;
+    // What another host's copy brought meanwhile can't have lapsed before.
     auto now = host::boot_now();
     auto outage = now - this->failing_since;
+    auto unknown = now - std::max(this->failing_since, this->fresh_at);
     this->failures = 0;
     logging::event(logging::level::info, "store_regained")
         .with("prefix", this->options.prefix)
         .with("outage_ms", outage.count());
-    if (outage >= this->options.lapse_outage)
-        this->keep_removed_until = now + this->options.removal_grace;
+    this->after_outage = unknown >= this->options.lapse_outage &&
+                         this->options.removal_grace.count() > 0;
 }
 
 void mirror::retry()
@@ -212,11 +251,10 @@
         {
             if (error || this->stopped || this->calling)
                 return;
+            this->drop_lapsed();
             if (this->options.mode == mirror_mode::watch && this->complete)
                 return this->watch();
-            auto age = host::boot_now() - this->fresh_at;
-            bool fresh = age < this->options.interval * 2;
-            if (!this->active && this->complete && fresh)
+            if (!this->active && this->complete)
                 return this->schedule(this->options.interval / 4);
             this->list();
         });
--- a/source/store/mirror.hpp
+++ b/source/store/mirror.hpp
@@ -29,7 +29,7 @@
     mirror_mode mode = mirror_mode::watch;
     /// The time of one waiting call, or between two reads.
     core::milliseconds interval{};
-    /// Entries that vanished in an outage are kept this long after it.
+    /// Entries that were gone right after an outage are kept this long.
     core::milliseconds removal_grace{};
     /// Only an outage of this length can have let entries lapse.
     core::milliseconds lapse_outage{};
@@ -57,8 +57,7 @@
 
     /// @brief Says whether this host reads from the store itself.
     ///
-    /// Otherwise other hosts' copies keep this one up to date; a polled part
-    /// is still read where none has arrived for long.
+    /// Otherwise other hosts' copies keep this one up to date.
     void set_active(bool reads) { this->active = reads; }
 
     const std::map<std::string, entry, std::less<>>& entries() const
@@ -84,8 +83,9 @@
     void watch();
     void on_listing(const listing& got);
     void on_watch(const listing& got);
-    bool keeps_removed(core::instant now) const;
     void replace(const listing& got);
+    bool keeps(const std::string& key, const listing& got, core::instant now);
+    void drop_lapsed();
     void retry();
     void note_success();
     void schedule(core::milliseconds after);
@@ -106,7 +106,10 @@
     core::instant fresh_at{};
     int failures = 0;
     core::instant failing_since{};
-    core::instant keep_removed_until{};
+    /// Entries that are kept although the store doesn't list them, and until
+    /// when. Other hosts are told, but never given them.
+    std::map<std::string, core::instant, std::less<>> lapsed;
+    bool after_outage = false;
 };
 
 } // namespace amaranthhatch::store
--- a/tests/core/shell_io_test.cpp
+++ b/tests/core/shell_io_test.cpp
@@ -122,6 +122,50 @@
     int changes = 0;
 };
 
+/// @brief A polled copy whose store is lost for longer than entries last.
+struct polled_prefix
+{
+    polled_prefix()
+        : copy(this->loop, this->source,
+               {"servers/", store::mirror_mode::poll, 20ms, 200ms, 100ms})
+    {
+        this->copy.start();
+    }
+
+    static store::listing full(std::uint64_t revision,
+                               std::vector<store::entry> entries)
+    {
+        return {store::outcome::done, revision, std::move(entries), {}};
+    }
+
+    void run(std::chrono::milliseconds time)
+    {
+        this->loop.restart();
+        this->loop.run_for(time);
+    }
+
+    void answer(store::listing with)
+    {
+        constexpr auto limit = 500ms;
+        auto end = std::chrono::steady_clock::now() + limit;
+        while (this->source.lists.empty() &&
+               std::chrono::steady_clock::now() < end)
+            this->run(5ms);
+        REQUIRE_FALSE(this->source.lists.empty());
+        this->source.answer_list(std::move(with));
+    }
+
+    void outage()
+    {
+        this->answer({store::outcome::refused, 0, {}, {}});
+        std::this_thread::sleep_for(150ms);
+    }
+
+    boost::asio::io_context loop;
+    scripted_store source;
+    store::mirror copy;
+};
+
 } // namespace
 
 TEST_CASE_METHOD(log_folder, "disk log, frames, are read back in order")
@@ -224,36 +268,59 @@
     CHECK(this->copy.find("op/a") == nullptr);
 }
 
-TEST_CASE("mirror, entries lapsed in an outage, are kept for the grace")
+TEST_CASE_METHOD(polled_prefix,
+                 "mirror, entries lapsed in an outage, are kept for the grace")
 {
-    boost::asio::io_context loop;
-    scripted_store source;
-    store::mirror copy(
-        loop, source,
-        {"servers/", store::mirror_mode::poll, 20ms, 200ms, 100ms});
-    copy.start();
-    auto wait_for_list = [&](std::chrono::milliseconds limit)
-    {
-        auto end = std::chrono::steady_clock::now() + limit;
-        while (source.lists.empty() && std::chrono::steady_clock::now() < end)
-        {
-            loop.restart();
-            loop.run_for(5ms);
-        }
-        REQUIRE_FALSE(source.lists.empty());
-    };
-    source.answer_list(
-        {store::outcome::done, 5, {{"servers/a", "x", 4, false}}});
-    wait_for_list(500ms);
-    source.answer_list({store::outcome::refused, 0, {}});
-    std::this_thread::sleep_for(150ms);
-    wait_for_list(500ms);
-    source.answer_list({store::outcome::done, 9, {}});
-    CHECK(copy.find("servers/a") != nullptr);
+    this->answer(full(5, {{"servers/a", "x", 4, false}}));
+    this->outage();
+    this->answer(full(9, {}));
+    CHECK(this->copy.find("servers/a") != nullptr);
     std::this_thread::sleep_for(250ms);
-    wait_for_list(500ms);
-    source.answer_list({store::outcome::done, 10, {}});
-    CHECK(copy.find("servers/a") == nullptr);
+    this->answer(full(10, {}));
+    CHECK(this->copy.find("servers/a") == nullptr);
+}
+
+TEST_CASE_METHOD(polled_prefix,
+                 "mirror, entry removed after an outage, goes at once")
+{
+    this->answer(full(5, {{"servers/a", "x", 4, false}}));
+    this->outage();
+    this->answer(full(9, {{"servers/a", "x", 4, false}}));
+    auto before = this->copy.changed();
+    this->answer(full(11, {}));
+    CHECK(this->copy.find("servers/a") == nullptr);
+    // Other hosts see by the revision that there is something to take over.
+    CHECK(this->copy.changed() > before);
+}
+
+TEST_CASE_METHOD(polled_prefix,
+                 "mirror, entry that another host keeps, doesn't come back")
+{
+    this->answer(
+        full(5, {{"servers/a", "x", 4, false}, {"servers/b", "x", 4, false}}));
+    this->outage();
+    this->answer(full(9, {{"servers/b", "x", 4, false}}));
+    auto told = this->copy.snapshot();
+    CHECK(told.entries.size() == 1);
+    CHECK(told.lapsed == std::vector<std::string>{"servers/a"});
+    SECTION("a host that has it keeps it too, for a time")
+    {
+        polled_prefix other;
+        other.answer(full(
+            5, {{"servers/a", "x", 4, false}, {"servers/b", "x", 4, false}}));
+        other.copy.set_active(false);
+        CHECK(other.copy.adopt(told));
+        CHECK(other.copy.find("servers/a") != nullptr);
+        other.run(300ms);
+        CHECK(other.copy.find("servers/a") == nullptr);
+    }
+    SECTION("a host that saw it go is not given it")
+    {
+        polled_prefix other;
+        other.answer(full(8, {{"servers/b", "x", 4, false}}));
+        CHECK(other.copy.adopt(told));
+        CHECK(other.copy.find("servers/a") == nullptr);
+    }
 }
 
 TEST_CASE("event splitter, bytes in any pieces, gives whole events")
