batches: Tell copies and disks how far open items are

Change: an owner tells each copy's host once a second which events its open items have; hosts keep that in memory and, without anyone waiting, in the disk's log. A new owner, or the same host after a restart, goes on behind the last event. Epoch and attempt keep events of different runs apart. Items of jobs that have another owner are forgotten, which they weren't before. The call to a disk's host is one function now. Core, contract and platform tests: all passed, three at a time.

--- a/source/batches/batch_service.cpp
+++ b/source/batches/batch_service.cpp
@@ -41,12 +41,15 @@
       placement(runtime, this->jobs,
                 [this](const std::string& job) { this->on_commit(job); }),
       scheduler(runtime, this->placement, this->jobs, std::move(names)),
+      progress(runtime, this->placement, this->jobs, this->scheduler),
       timer(runtime.event_loop())
 {
     runtime.serve("/batches/append",
                   [this](exchange_ptr exchange) { this->on_append(exchange); });
     runtime.serve("/batches/reconcile", [this](exchange_ptr exchange)
                   { this->on_reconcile(exchange); });
+    runtime.serve("/batches/progress", [this](exchange_ptr exchange)
+                  { this->progress.serve(exchange); });
     runtime.serve(std::string(jobs_prefix),
                   [this](exchange_ptr exchange) { this->on_jobs(exchange); });
     runtime.extend_beacon([this](core::peers::beacon& out)
@@ -96,6 +99,8 @@
 {
     this->placement.tick();
     this->scheduler.pump();
+    this->scheduler.forget_unowned();
+    this->progress.tick();
     this->expire_waiting();
     auto now = host::boot_now();
     if (now < this->next_expiry)
--- a/source/batches/batch_service.hpp
+++ b/source/batches/batch_service.hpp
@@ -8,9 +8,9 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "batches/disk_log.hpp"
-#include "batches/item_scheduler.hpp"
 #include "batches/job_store.hpp"
 #include "batches/placement_agent.hpp"
+#include "batches/progress_sync.hpp"
 #include "forward/call_names.hpp"
 #include "host/host_runtime.hpp"
 
@@ -89,6 +89,7 @@
     job_store jobs;
     placement_agent placement;
     item_scheduler scheduler;
+    progress_sync progress;
     boost::asio::steady_timer timer;
     std::list<submission> submissions;
     std::list<waiting_read> reads;
--- a/source/batches/item_run.cpp
+++ b/source/batches/item_run.cpp
@@ -32,7 +32,8 @@
 void item_run::start()
 {
     const auto& names = this->owner.names;
-    auto& before = this->owner.progress_of(this->job_id, this->item_number);
+    const auto& before =
+        this->owner.progress_of(this->job_id, this->item_number).events;
     http::client_request asked;
     asked.method = "POST";
     asked.target = this->content.target;
@@ -82,7 +83,8 @@
     if (whole.empty())
         return;
     this->last_event = now;
-    auto& kept = this->owner.progress_of(this->job_id, this->item_number);
+    auto& kept =
+        this->owner.progress_of(this->job_id, this->item_number).events;
     forward::for_each_data(whole,
                            [&](std::string_view data)
                            {
--- a/source/batches/item_scheduler.cpp
+++ b/source/batches/item_scheduler.cpp
@@ -55,7 +55,13 @@
 item_progress& item_scheduler::progress_of(const std::string& job,
                                            std::uint32_t item)
 {
-    return this->progress[job][item];
+    auto [at, added] = this->progress[job].try_emplace(item);
+    if (!added)
+        return at->second;
+    // An earlier owner may have told how far it was.
+    if (const auto* told = this->jobs.told_progress().find(job, item))
+        at->second.events = *told;
+    return at->second;
 }
 
 std::vector<core::peers::backlog> item_scheduler::backlogs() const
@@ -141,7 +147,7 @@
     {
         if (log.finished(item))
             continue;
-        auto& state = this->progress[job.id][item];
+        auto& state = this->progress_of(job.id, item);
         if (state.running)
             continue;
         bool expired = route == nullptr ||
@@ -208,7 +214,7 @@
         return false;
     const auto* log = this->jobs.find(next.job);
     const auto& job = *log->submitted();
-    this->progress[next.job][next.item].running = true;
+    this->progress_of(next.job, next.item).running = true;
     auto run = std::make_shared<item_run>(*this, next.job, next.item,
                                           job.items[next.item], job.authority,
                                           *chosen.chosen);
@@ -220,18 +226,17 @@
 void item_scheduler::on_run_end(const std::shared_ptr<item_run>& run)
 {
     std::erase(this->runs, run);
-    auto& state = this->progress[run->job()][run->item()];
+    auto& state = this->progress_of(run->job(), run->item());
     state.running = false;
     switch (run->result())
     {
     case item_run::ending::whole:
     {
         std::string text;
-        for (std::size_t at = 0; at < state.data.size(); at++)
+        for (const auto& data : state.events.data)
         {
-            if (at > 0)
-                text += '\n';
-            text += state.data[at];
+            text += &data == &state.events.data.front() ? "" : "\n";
+            text += data;
         }
         this->store_result(run->job(), run->item(), model::item_state::done,
                            std::move(text));
@@ -242,15 +247,13 @@
         break;
     case item_run::ending::failed:
     {
-        state.failures++;
-        state.data.clear();
-        state.last_id.clear();
+        state.events = {state.events.attempt + 1, {}, {}};
         state.retry_at = host::boot_now() + failure_pause;
         const auto* log = this->jobs.find(run->job());
         const auto* route = log == nullptr || log->submitted() == nullptr
                                 ? nullptr
                                 : this->route_of(*log->submitted());
-        if (route != nullptr && state.failures >= route->max_attempts)
+        if (route != nullptr && state.events.attempt >= route->max_attempts)
             this->give_up(run->job(), run->item(), "attempts used up");
         break;
     }
@@ -292,6 +295,18 @@
         this->progress.erase(job);
 }
 
+void item_scheduler::forget_unowned()
+{
+    std::erase_if(this->progress,
+                  [this](const auto& each)
+                  {
+                      bool running = std::any_of(
+                          each.second.begin(), each.second.end(),
+                          [](const auto& item) { return item.second.running; });
+                      return !running && !this->placement.owner_of(each.first);
+                  });
+}
+
 void item_scheduler::end_job(const std::string& job)
 {
     for (const auto& run : std::vector(this->runs))
--- a/source/batches/item_scheduler.hpp
+++ b/source/batches/item_scheduler.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "batches/placement_agent.hpp"
+#include "core/batches/item_progress.hpp"
 #include "core/routes/route_table.hpp"
 #include "forward/call_names.hpp"
 #include "host/host_runtime.hpp"
@@ -20,13 +21,14 @@
 struct item_progress
 {
     bool running = false;
-    std::uint32_t failures = 0;
-    /// Data of the whole events so far, and the id of the last one.
-    std::vector<std::string> data;
-    std::string last_id;
+    core::batches::item_events events;
     core::instant retry_at{};
 };
 
+/// @brief The open items of the owned jobs, by job and number.
+using open_items =
+    std::map<std::string, std::map<std::uint32_t, item_progress>>;
+
 /// @brief Runs the items of owned jobs on the slots that online work leaves.
 class item_scheduler
 {
@@ -40,6 +42,9 @@
     /// @brief Starts items on free slots and makes way where there are none.
     void pump();
 
+    /// @brief Forgets the items of jobs that have another owner.
+    void forget_unowned();
+
     /// @brief Ends the runs of a job that its caller ended.
     void end_job(const std::string& job);
 
@@ -58,6 +63,8 @@
         return this->table.get();
     }
 
+    const batches::open_items& open_items() const { return this->progress; }
+
     std::size_t running() const { return this->runs.size(); }
 
 private:
@@ -90,7 +97,7 @@
     job_store& jobs;
     forward::call_names names;
     std::shared_ptr<const core::routes::route_table> table;
-    std::map<std::string, std::map<std::uint32_t, item_progress>> progress;
+    batches::open_items progress;
     std::vector<std::shared_ptr<item_run>> runs;
     bool pumping = false;
     bool stopped = false;
--- a/source/batches/job_store.cpp
+++ b/source/batches/job_store.cpp
@@ -62,6 +62,10 @@
         known = std::max(known, frame->epoch);
         break;
     }
+    case disk_kind::progress:
+        for (const auto& each : frame->progress)
+            this->progress.store(each);
+        break;
     }
 }
 
@@ -278,6 +282,21 @@
     return out;
 }
 
+std::vector<model::progress_mark>
+job_store::store_progress(const std::vector<model::progress_delta>& told)
+{
+    std::vector<model::progress_mark> out;
+    for (const auto& each : told)
+        out.push_back(this->progress.store(each));
+    if (told.empty())
+        return out;
+    disk_frame frame;
+    frame.kind = disk_kind::progress;
+    frame.progress = told;
+    this->disk.append({pack(frame)}, nullptr);
+    return out;
+}
+
 void job_store::compact_if_large()
 {
     if (this->disk.size() < compact_bytes ||
@@ -301,6 +320,10 @@
         frame.epoch = epoch;
         frames.push_back(pack(frame));
     }
+    disk_frame progress;
+    progress.kind = disk_kind::progress;
+    progress.progress = this->progress.whole();
+    frames.push_back(pack(progress));
     logging::event(logging::level::info, "log_compacted")
         .with("before", static_cast<std::int64_t>(this->disk.size()))
         .with("after", static_cast<std::int64_t>(this->live_bytes));
--- a/source/batches/job_store.hpp
+++ b/source/batches/job_store.hpp
@@ -66,6 +66,22 @@
     /// @brief Answers a new owner that asks for marks.
     reconcile_answer answer(const reconcile_call& call);
 
+    /// @brief Keeps events of open items; nobody waits for the disk.
+    std::vector<core::batches::progress_mark>
+    store_progress(const std::vector<core::batches::progress_delta>& told);
+
+    /// @brief What is known of open items, also from before a restart.
+    const core::batches::progress_copies& told_progress() const
+    {
+        return this->progress;
+    }
+
+    void forget_progress_if(const std::function<bool(const std::string& job,
+                                                     std::uint32_t item)>& done)
+    {
+        this->progress.forget_if(done);
+    }
+
     /// @brief Rewrites the log when most of it belongs to forgotten jobs.
     void compact_if_large();
 
@@ -94,6 +110,7 @@
     std::map<std::string, stored_job, std::less<>> jobs;
     std::map<std::size_t, std::uint64_t> epochs;
     std::map<std::size_t, core::instant> touch_times;
+    core::batches::progress_copies progress;
     std::uint64_t live_bytes = 0;
 };
 
--- a/source/batches/partition_owner.cpp
+++ b/source/batches/partition_owner.cpp
@@ -2,9 +2,9 @@
 
 #include <algorithm>
 
+#include "batches/disk_call.hpp"
 #include "batches/timing.hpp"
 #include "host/boot_clock.hpp"
-#include "http/whole_call.hpp"
 #include "logging/event.hpp"
 
 namespace amaranthhatch::batches
@@ -190,33 +190,6 @@
     return host::boot_now() - this->started;
 }
 
-void partition_owner::call(const std::string& disk, std::string path,
-                           std::string body, core::milliseconds limit,
-                           std::function<void(std::optional<std::string>)> done)
-{
-    const auto* peer = this->runtime.peers().find_disk(disk, host::boot_now());
-    if (peer == nullptr)
-        return done(std::nullopt);
-    http::client_request asked;
-    asked.method = "POST";
-    asked.target = std::move(path);
-    asked.headers.add("Host", peer->address);
-    asked.body = std::make_shared<const std::string>(std::move(body));
-    // The key names the process's start, so that a connection to an earlier
-    // one is never used.
-    auto key = peer->name + "/" + std::to_string(peer->incarnation);
-    http::call_whole(this->runtime.http_client(), this->runtime.event_loop(),
-                     key, peer->address, asked, limit,
-                     [done = std::move(done)](http::whole_answer answer)
-                     {
-                         bool whole = answer.how == http::call_end::complete &&
-                                      answer.status == 200;
-                         if (whole)
-                             return done(std::move(answer.body));
-                         done(std::nullopt);
-                     });
-}
-
 void partition_owner::tick()
 {
     if (this->stopped)
@@ -253,21 +226,22 @@
     for (const auto& id : this->jobs.jobs_of(this->partition))
         question.jobs.push_back({id, this->jobs.find(id)->mark(), false});
     auto self = this->shared_from_this();
-    this->call(disk, "/batches/reconcile", pack(question), reconcile_limit,
-               [self, disk](const std::optional<std::string>& body)
-               {
-                   auto found = self->copies.find(disk);
-                   if (self->stopped || found == self->copies.end())
-                       return;
-                   auto answer =
-                       body ? unpack_reconcile_answer(*body) : std::nullopt;
-                   bool usable = answer && answer->state.result ==
-                                               append_answer::verdict::stored;
-                   if (usable)
-                       return self->on_marks(disk, *answer);
-                   found->second.phase = copy_phase::unknown;
-                   found->second.retry_at = host::boot_now() + retry_pause;
-               });
+    call_disk(this->runtime, disk, "/batches/reconcile", pack(question),
+              reconcile_limit,
+              [self, disk](const std::optional<std::string>& body)
+              {
+                  auto found = self->copies.find(disk);
+                  if (self->stopped || found == self->copies.end())
+                      return;
+                  auto answer =
+                      body ? unpack_reconcile_answer(*body) : std::nullopt;
+                  bool usable = answer && answer->state.result ==
+                                              append_answer::verdict::stored;
+                  if (usable)
+                      return self->on_marks(disk, *answer);
+                  found->second.phase = copy_phase::unknown;
+                  found->second.retry_at = host::boot_now() + retry_pause;
+              });
 }
 
 void partition_owner::on_marks(const std::string& disk,
@@ -402,25 +376,25 @@
     }
     copy.sending = true;
     auto self = this->shared_from_this();
-    this->call(disk, "/batches/append", pack(out), append_limit,
-               [self, disk,
-                expired = out.expired](const std::optional<std::string>& body)
-               {
-                   auto at = self->copies.find(disk);
-                   if (self->stopped || at == self->copies.end())
-                       return;
-                   at->second.sending = false;
-                   auto answer =
-                       body ? unpack_append_answer(*body) : std::nullopt;
-                   if (!answer)
-                   {
-                       at->second.retry_at = host::boot_now() + retry_pause;
-                       return;
-                   }
-                   for (const auto& id : expired)
-                       at->second.expired.erase(id);
-                   self->on_stored(disk, *answer);
-               });
+    call_disk(this->runtime, disk, "/batches/append", pack(out), append_limit,
+              [self, disk,
+               expired = out.expired](const std::optional<std::string>& body)
+              {
+                  auto at = self->copies.find(disk);
+                  if (self->stopped || at == self->copies.end())
+                      return;
+                  at->second.sending = false;
+                  auto answer =
+                      body ? unpack_append_answer(*body) : std::nullopt;
+                  if (!answer)
+                  {
+                      at->second.retry_at = host::boot_now() + retry_pause;
+                      return;
+                  }
+                  for (const auto& id : expired)
+                      at->second.expired.erase(id);
+                  self->on_stored(disk, *answer);
+              });
 }
 
 void partition_owner::on_stored(const std::string& disk,
--- a/source/batches/partition_owner.hpp
+++ b/source/batches/partition_owner.hpp
@@ -117,9 +117,6 @@
     void on_marks(const std::string& disk, const reconcile_answer& answer);
     void send(const std::string& disk);
     void on_stored(const std::string& disk, const append_answer& answer);
-    void call(const std::string& disk, std::string path, std::string body,
-              core::milliseconds limit,
-              std::function<void(std::optional<std::string>)> done);
     void begin_serving();
     bool all_copies_heard() const;
     bool lost(const std::string& disk) const;
--- /dev/null
+++ b/source/batches/progress_sync.cpp
@@ -0,0 +1,150 @@
+#include "batches/progress_sync.hpp"
+
+#include "batches/disk_call.hpp"
+#include "batches/progress_messages.hpp"
+#include "host/boot_clock.hpp"
+
+namespace amaranthhatch::batches
+{
+
+namespace model = core::batches;
+
+namespace
+{
+
+// What a lost owner costs an item at the most, beside the takeover; an item
+// takes several seconds.
+constexpr core::milliseconds send_interval{1000};
+constexpr core::milliseconds call_limit{1000};
+// One call carries about this much, so that it doesn't hold up records.
+constexpr std::size_t call_bytes = 256u << 10;
+
+std::size_t bytes_of(const model::progress_delta& delta)
+{
+    constexpr std::size_t frame_bytes = 64;
+    std::size_t bytes = frame_bytes;
+    for (const auto& each : delta.data)
+        bytes += each.size();
+    return bytes;
+}
+
+} // namespace
+
+progress_sync::progress_sync(host::host_runtime& runtime,
+                             placement_agent& placement, job_store& jobs,
+                             item_scheduler& scheduler)
+    : runtime(runtime), placement(placement), jobs(jobs), scheduler(scheduler)
+{
+}
+
+void progress_sync::tick()
+{
+    auto now = host::boot_now();
+    if (now < this->next_send)
+        return;
+    this->next_send = now + send_interval;
+    this->forget_finished();
+    this->send_all();
+}
+
+void progress_sync::forget_finished()
+{
+    auto done = [this](const std::string& job, std::uint32_t item)
+    {
+        const auto* log = this->jobs.find(job);
+        return log == nullptr || log->closed() || log->finished(item);
+    };
+    this->jobs.forget_progress_if(done);
+    for (auto& [disk, copy] : this->disks)
+        copy.marks.forget_if(done);
+}
+
+void progress_sync::send_all()
+{
+    std::map<std::string, std::vector<model::progress_delta>> by_disk;
+    std::map<std::string, std::size_t> bytes;
+    for (const auto& [job, items] : this->scheduler.open_items())
+    {
+        auto owner = this->placement.owner_of(job);
+        if (!owner || !owner->serving())
+            continue;
+        for (const auto& disk : owner->placed().copies)
+        {
+            auto& copy = this->disks[disk];
+            if (copy.sending)
+                continue;
+            for (const auto& [item, progress] : items)
+            {
+                auto lacks = copy.marks.missing(job, item, owner->epoch(),
+                                                progress.events);
+                if (!lacks || bytes[disk] > call_bytes)
+                    continue;
+                bytes[disk] += bytes_of(*lacks);
+                by_disk[disk].push_back(std::move(*lacks));
+            }
+        }
+    }
+    for (auto& [disk, deltas] : by_disk)
+        this->send(disk, std::move(deltas));
+    std::erase_if(this->disks,
+                  [&](const auto& each)
+                  {
+                      return !each.second.sending &&
+                             each.first != this->jobs.disk_identity() &&
+                             this->runtime.peers().locate_disk(each.first) ==
+                                 nullptr;
+                  });
+}
+
+void progress_sync::send(const std::string& disk,
+                         std::vector<model::progress_delta> deltas)
+{
+    if (disk == this->jobs.disk_identity())
+        return this->note(disk, this->jobs.store_progress(deltas));
+    this->disks[disk].sending = true;
+    auto on_answer = [this, disk, still = std::weak_ptr<bool>(this->alive)](
+                         const std::optional<std::string>& body)
+    {
+        if (still.expired())
+            return;
+        this->disks[disk].sending = false;
+        auto marks = body ? unpack_progress_marks(*body) : std::nullopt;
+        if (!marks)
+            return this->runtime.metrics_recorder().count(
+                "hatch_item_progress_total", "outcome", "not_sent");
+        this->note(disk, *marks);
+    };
+    call_disk(this->runtime, disk, "/batches/progress", pack(deltas),
+              call_limit, std::move(on_answer));
+}
+
+void progress_sync::note(const std::string& disk,
+                         const std::vector<model::progress_mark>& marks)
+{
+    auto& copy = this->disks[disk];
+    for (const auto& each : marks)
+        copy.marks.note(each);
+    this->runtime.metrics_recorder().count("hatch_item_progress_total",
+                                           "outcome", "stored",
+                                           static_cast<double>(marks.size()));
+}
+
+void progress_sync::serve(
+    const std::shared_ptr<http::server_exchange>& exchange)
+{
+    auto deltas = unpack_progress(exchange->asked().body);
+    if (!deltas)
+        return exchange->respond(400, {}, "unreadable progress\n");
+    // An owner that was replaced tells nothing any more, and the present one
+    // may be this host.
+    std::erase_if(*deltas,
+                  [this](const auto& each)
+                  {
+                      auto partition = this->jobs.partition_of(each.job);
+                      return each.epoch < this->jobs.epoch(partition) ||
+                             this->placement.owner_of(each.job);
+                  });
+    exchange->respond(200, {}, pack(this->jobs.store_progress(*deltas)));
+}
+
+} // namespace amaranthhatch::batches
--- a/source/batches/records.cpp
+++ b/source/batches/records.cpp
@@ -1,9 +1,10 @@
 #include "batches/records.hpp"
 
-#include <msgpack.hpp>
 #include <nlohmann/json.hpp>
 
+#include "batches/progress_messages.hpp"
 #include "logging/event.hpp"
+#include "packing/bytes.hpp"
 
 namespace amaranthhatch::batches
 {
@@ -13,6 +14,9 @@
 namespace
 {
 
+using packing::from_bytes;
+using packing::to_bytes;
+
 struct packed_item
 {
     std::string id;
@@ -104,7 +108,8 @@
     packed_append append;
     std::uint64_t partition = 0;
     std::uint64_t epoch = 0;
-    MSGPACK_DEFINE(kind, append, partition, epoch)
+    std::string progress;
+    MSGPACK_DEFINE(kind, append, partition, epoch, progress)
 };
 
 packed_job to_packed(const model::job& from)
@@ -195,32 +200,6 @@
             from_packed(from.jobs)};
 }
 
-template <typename Packed>
-std::string to_bytes(const Packed& from)
-{
-    msgpack::sbuffer buffer;
-    msgpack::pack(buffer, from);
-    return {buffer.data(), buffer.size()};
-}
-
-template <typename Packed>
-std::optional<Packed> from_bytes(std::string_view bytes, std::string_view what)
-{
-    try
-    {
-        Packed out;
-        msgpack::unpack(bytes.data(), bytes.size()).get().convert(out);
-        return out;
-    }
-    catch (const std::exception& error)
-    {
-        logging::event(logging::level::error, "batch_message_unreadable")
-            .with("what", what)
-            .with("detail", error.what());
-        return std::nullopt;
-    }
-}
-
 template <typename Part>
 std::vector<job_append> appends_from(std::vector<Part>&& from)
 {
@@ -262,9 +241,14 @@
 
 std::string pack(const disk_frame& from)
 {
-    return to_bytes(packed_frame{static_cast<std::uint8_t>(from.kind),
-                                 to_packed(from.append), from.partition,
-                                 from.epoch});
+    packed_frame out{static_cast<std::uint8_t>(from.kind),
+                     to_packed(from.append),
+                     from.partition,
+                     from.epoch,
+                     {}};
+    if (!from.progress.empty())
+        out.progress = pack(from.progress);
+    return to_bytes(out);
 }
 
 std::string pack(const model::job& from)
@@ -316,9 +300,18 @@
     auto in = from_bytes<packed_frame>(bytes, "disk frame");
     if (!in)
         return std::nullopt;
-    return disk_frame{static_cast<disk_kind>(in->kind),
-                      from_packed(std::move(in->append)), in->partition,
-                      in->epoch};
+    disk_frame out{static_cast<disk_kind>(in->kind),
+                   from_packed(std::move(in->append)),
+                   in->partition,
+                   in->epoch,
+                   {}};
+    if (in->progress.empty())
+        return out;
+    auto progress = unpack_progress(in->progress);
+    if (!progress)
+        return std::nullopt;
+    out.progress = std::move(*progress);
+    return out;
 }
 
 std::optional<model::job> unpack_job(std::string_view bytes)
--- a/source/batches/records.hpp
+++ b/source/batches/records.hpp
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "core/batches/item_progress.hpp"
 #include "core/batches/job_log.hpp"
 #include "core/batches/placement.hpp"
 
@@ -84,7 +85,9 @@
     /// A job was forgotten.
     expired,
     /// An epoch of a partition below which nothing is accepted any more.
-    epoch
+    epoch,
+    /// Events of open items.
+    progress
 };
 
 /// @brief One frame of the disk's log.
@@ -94,6 +97,7 @@
     job_append append;
     std::uint64_t partition = 0;
     std::uint64_t epoch = 0;
+    std::vector<core::batches::progress_delta> progress;
 };
 
 std::string pack(const append_call& from);
--- a/source/batches/results.cpp
+++ b/source/batches/results.cpp
@@ -1,6 +1,6 @@
 #include "batches/results.hpp"
 
-#include <msgpack.hpp>
+#include "packing/bytes.hpp"
 
 namespace amaranthhatch::batches
 {
@@ -30,27 +30,19 @@
     packed_answer out{from.total, {}};
     for (const auto& each : from.results)
         out.results.push_back({each.item, each.done, each.text});
-    msgpack::sbuffer buffer;
-    msgpack::pack(buffer, out);
-    return {buffer.data(), buffer.size()};
+    return packing::to_bytes(out);
 }
 
 std::optional<read_answer> unpack_read_answer(std::string_view bytes)
 {
-    try
-    {
-        packed_answer in;
-        msgpack::unpack(bytes.data(), bytes.size()).get().convert(in);
-        read_answer out{in.total, {}};
-        for (auto& each : in.results)
-            out.results.push_back(
-                {std::move(each.item), each.done, std::move(each.text)});
-        return out;
-    }
-    catch (const std::exception&)
-    {
+    auto in = packing::from_bytes<packed_answer>(bytes, "read answer");
+    if (!in)
         return std::nullopt;
-    }
+    read_answer out{in->total, {}};
+    for (auto& each : in->results)
+        out.results.push_back(
+            {std::move(each.item), each.done, std::move(each.text)});
+    return out;
 }
 
 } // namespace amaranthhatch::batches
--- /dev/null
+++ b/source/core/batches/item_progress.cpp
@@ -0,0 +1,82 @@
+#include "core/batches/item_progress.hpp"
+
+#include <algorithm>
+
+namespace amaranthhatch::core::batches
+{
+
+progress_mark progress_copies::store(const progress_delta& from)
+{
+    auto& known = this->items[{from.job, from.item}];
+    if (from.epoch < known.epoch)
+        return {from.job, from.item, known.epoch, known.events.attempt, 0};
+    bool other =
+        known.epoch != from.epoch || known.events.attempt != from.attempt;
+    if (other)
+        known = {from.epoch, {from.attempt, {}, {}}};
+    auto& events = known.events;
+    // Behind a gap nothing fits; the owner sends from the count on.
+    if (from.from <= events.data.size())
+    {
+        events.data.resize(from.from);
+        events.data.insert(events.data.end(), from.data.begin(),
+                           from.data.end());
+        events.last_id = from.last_id;
+    }
+    return {from.job, from.item, from.epoch, from.attempt, events.data.size()};
+}
+
+const item_events* progress_copies::find(std::string_view job,
+                                         std::uint32_t item) const
+{
+    auto found = this->items.find({std::string(job), item});
+    return found == this->items.end() ? nullptr : &found->second.events;
+}
+
+std::vector<progress_delta> progress_copies::whole() const
+{
+    std::vector<progress_delta> out;
+    for (const auto& [name, kept] : this->items)
+        out.push_back({name.first, name.second, kept.epoch, kept.events.attempt,
+                       0, kept.events.data, kept.events.last_id});
+    return out;
+}
+
+void progress_copies::forget_if(
+    const std::function<bool(const std::string&, std::uint32_t)>& done)
+{
+    std::erase_if(this->items, [&](const auto& each)
+                  { return done(each.first.first, each.first.second); });
+}
+
+std::optional<progress_delta>
+progress_marks::missing(const std::string& job, std::uint32_t item,
+                        std::uint64_t epoch, const item_events& all) const
+{
+    progress_delta out{job, item, epoch, all.attempt, 0, {}, all.last_id};
+    auto found = this->marks.find({job, item});
+    bool known = found != this->marks.end() && found->second.epoch == epoch &&
+                 found->second.attempt == all.attempt;
+    if (known)
+        out.from =
+            std::min<std::uint64_t>(found->second.count, all.data.size());
+    out.data.assign(all.data.begin() + static_cast<std::ptrdiff_t>(out.from),
+                    all.data.end());
+    if (out.data.empty())
+        return std::nullopt;
+    return out;
+}
+
+void progress_marks::note(const progress_mark& stored)
+{
+    this->marks[{stored.job, stored.item}] = stored;
+}
+
+void progress_marks::forget_if(
+    const std::function<bool(const std::string&, std::uint32_t)>& done)
+{
+    std::erase_if(this->marks, [&](const auto& each)
+                  { return done(each.first.first, each.first.second); });
+}
+
+} // namespace amaranthhatch::core::batches
--- /dev/null
+++ b/tests/core/item_progress_test.cpp
@@ -0,0 +1,112 @@
+#include <catch2/catch.hpp>
+
+#include "core/batches/item_progress.hpp"
+
+using namespace amaranthhatch::core::batches;
+
+namespace
+{
+
+/// @brief An owner's item, one copy of it, and what the owner knows of that.
+struct copied_item
+{
+    // One round: what lacks is sent, stored and answered.
+    void send(std::uint64_t epoch = 1)
+    {
+        if (auto lacks = this->marks.missing("job", 0, epoch, this->own))
+        {
+            this->sent += lacks->data.size();
+            this->marks.note(this->copies.store(*lacks));
+        }
+    }
+
+    void make(int count)
+    {
+        for (int at = 0; at < count; at++)
+        {
+            auto number = std::to_string(this->own.data.size() + 1);
+            this->own.data.push_back("event" + number);
+            this->own.last_id = number;
+        }
+    }
+
+    item_events own;
+    progress_marks marks;
+    progress_copies copies;
+    std::size_t sent = 0;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(copied_item,
+                 "item progress, told twice, sends only what is new")
+{
+    this->make(3);
+    this->send();
+    this->send();
+    this->make(2);
+    this->send();
+    CHECK(this->sent == 5);
+    const auto* taken = this->copies.find("job", 0);
+    REQUIRE(taken != nullptr);
+    CHECK(taken->data == this->own.data);
+    CHECK(taken->last_id == "5");
+    CHECK(this->copies.find("job", 1) == nullptr);
+    progress_copies again;
+    for (const auto& each : this->copies.whole())
+        again.store(each);
+    CHECK(again.find("job", 0)->data == this->own.data);
+}
+
+TEST_CASE_METHOD(copied_item,
+                 "item progress, item started anew, replaces what was told")
+{
+    this->make(4);
+    this->send();
+    this->own = {1, {}, {}};
+    this->make(6);
+    this->own.data[0] = "other";
+    this->send();
+    const auto* taken = this->copies.find("job", 0);
+    REQUIRE(taken != nullptr);
+    CHECK(taken->attempt == 1);
+    CHECK(taken->data == this->own.data);
+}
+
+TEST_CASE_METHOD(copied_item,
+                 "item progress, copy started anew, is told everything again")
+{
+    this->make(4);
+    this->send();
+    this->copies = {};
+    this->make(1);
+    this->send();
+    // The copy says that it has nothing; the next call starts at the front.
+    this->send();
+    const auto* taken = this->copies.find("job", 0);
+    REQUIRE(taken != nullptr);
+    CHECK(taken->data == this->own.data);
+}
+
+TEST_CASE_METHOD(copied_item,
+                 "item progress, later owner, isn't mixed with the earlier's")
+{
+    this->make(4);
+    this->send(1);
+    progress_delta later{"job", 0, 2, 0, 0, {"other"}, "1"};
+    CHECK(this->copies.store(later).count == 1);
+    this->make(1);
+    this->send(1);
+    const auto* taken = this->copies.find("job", 0);
+    REQUIRE(taken != nullptr);
+    CHECK(taken->data == std::vector<std::string>{"other"});
+}
+
+TEST_CASE_METHOD(copied_item, "item progress, finished, is forgotten")
+{
+    this->make(1);
+    this->send();
+    this->copies.forget_if([](const std::string&, std::uint32_t item)
+                           { return item == 0; });
+    CHECK(this->copies.size() == 0);
+}
--- a/tests/platform/batch_path_test.cpp
+++ b/tests/platform/batch_path_test.cpp
@@ -1,7 +1,9 @@
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
+#include <map>
 #include <set>
 #include <sstream>
 #include <thread>
@@ -16,6 +18,14 @@
 namespace
 {
 
+std::string whole_text(const std::string& id)
+{
+    std::string text;
+    for (int at = 1; at <= 10; at++)
+        text += (at == 1 ? "" : "\n") + id + "-" + std::to_string(at);
+    return text;
+}
+
 struct batch_path
 {
     batch_path() : fleet(2, 3, 2) { this->fleet.start(); }
@@ -47,6 +57,36 @@
             20s);
     }
 
+    /// @brief Items that a worker was asked to go on with behind an event.
+    int resumed_items()
+    {
+        int count = 0;
+        for (const auto& worker : this->fleet.workers)
+        {
+            auto asked = fleet::counters(worker).at("asked");
+            for (const auto& each : asked)
+                count += each.at("last") != "" ? 1 : 0;
+        }
+        return count;
+    }
+
+    /// @brief Starts a job whose items take four seconds and have done half.
+    void start_slow_job(const std::string& job)
+    {
+        for (const auto& worker : this->fleet.workers)
+            fleet::admin(worker, {{"event_ms", 400}});
+        REQUIRE(this->submit_eventually(job, {"a", "b"}));
+        std::this_thread::sleep_for(2500ms);
+    }
+
+    void check_whole(const std::string& job)
+    {
+        REQUIRE(this->finished(job, 2));
+        for (const auto& one : this->fleet.results(0, job).at("results"))
+            CHECK(one.at("text") ==
+                  whole_text(one.at("id").get<std::string>()));
+    }
+
     json place(const std::string& job)
     {
         auto values = fleet::counters(this->fleet.store).at("values");
@@ -55,6 +95,28 @@
         return table.at(core::hash(job) % table.size());
     }
 
+    struct disk_load
+    {
+        int owned = 0;
+        int copies = 0;
+    };
+
+    /// @brief What each disk carries, as the store's placement says.
+    std::map<std::string, disk_load> carried()
+    {
+        auto values = fleet::counters(this->fleet.store).at("values");
+        auto table =
+            json::parse(values.at("hatch/placement").get<std::string>());
+        std::map<std::string, disk_load> out;
+        for (const auto& place : table)
+        {
+            out[place.at("owner").get<std::string>()].owned++;
+            for (const auto& disk : place.at("copies"))
+                out[disk.get<std::string>()].copies++;
+        }
+        return out;
+    }
+
     std::size_t host_of_disk(const std::string& disk)
     {
         auto values = fleet::counters(this->fleet.store).at("values");
@@ -106,14 +168,6 @@
     tests::platform_fleet fleet;
 };
 
-std::string whole_text(const std::string& id)
-{
-    std::string text;
-    for (int at = 1; at <= 10; at++)
-        text += (at == 1 ? "" : "\n") + id + "-" + std::to_string(at);
-    return text;
-}
-
 } // namespace
 
 TEST_CASE_METHOD(batch_path, "batch job, submitted, is done once and readable")
@@ -294,3 +348,67 @@
         15s));
     CHECK(this->finished("job1", 1));
 }
+
+TEST_CASE_METHOD(batch_path,
+                 "batch host, back with an empty disk, gets its share again")
+{
+    REQUIRE(this->submit_eventually("job1", {"a", "b"}));
+    REQUIRE(this->finished("job1", 2));
+    auto before = this->fleet.results(0, "job1").at("results");
+    std::size_t lost =
+        this->host_of_disk(this->place("job1").at("owner").get<std::string>());
+    this->fleet.batch_hosts[lost].process->kill();
+    this->fleet.wipe(lost);
+    this->fleet.batch_hosts[lost].start();
+    // 24 partitions with two copies each over three hosts.
+    CHECK(fleet::eventually(
+        [&]
+        {
+            auto carried = this->carried();
+            return carried.size() == 3 &&
+                   std::all_of(carried.begin(), carried.end(),
+                               [](const auto& each)
+                               {
+                                   return each.second.owned >= 7 &&
+                                          each.second.owned <= 9 &&
+                                          each.second.copies >= 15 &&
+                                          each.second.copies <= 17;
+                               });
+        },
+        20s));
+    CHECK(fleet::eventually(
+        [&]
+        {
+            auto read = this->fleet.results(1, "job1");
+            return !read.is_null() && read.at("results") == before;
+        },
+        10s));
+}
+
+TEST_CASE_METHOD(batch_path,
+                 "batch job, owner's disk lost midway, goes on behind what the "
+                 "copies were told")
+{
+    this->start_slow_job("job1");
+    REQUIRE(this->resumed_items() == 0);
+    auto owner =
+        this->host_of_disk(this->place("job1").at("owner").get<std::string>());
+    this->fleet.batch_hosts[owner].process->kill();
+    this->fleet.wipe(owner);
+    this->check_whole("job1");
+    CHECK(this->resumed_items() == 2);
+}
+
+TEST_CASE_METHOD(batch_path,
+                 "batch job, all hosts killed midway, goes on behind what the "
+                 "disks hold")
+{
+    this->start_slow_job("job1");
+    REQUIRE(this->resumed_items() == 0);
+    for (auto& host : this->fleet.batch_hosts)
+        host.process->kill();
+    for (auto& host : this->fleet.batch_hosts)
+        host.start();
+    this->check_whole("job1");
+    CHECK(this->resumed_items() == 2);
+}
