host: Read changed settings while a process runs

Cause: SIGHUP only wrote "settings_reloaded" and read nothing, and a file that changed without a signal was not noticed. Two settings that nothing used are gone; the disk's share, read and unused before, bounds the jobs' log: compaction at a quarter, no new jobs beyond half. Parameters that nothing used are gone.

--- a/source/batch/batch_node.cpp
+++ b/source/batch/batch_node.cpp
@@ -79,10 +79,10 @@
       cancels(engine), hedges(0, 0), retries(batch_retry_share, budget_burst),
       moves(0, 0), folder(this->settings.folder),
       peers(this->self, this->view, peers),
-      views(this->folder, this->peers, this->board, this->manifests),
-      keeper(this->folder, this->peers, this->board, this->manifests,
-             this->views, store, metrics),
-      runner(this->settings.concurrency, this->board,
+      views(this->folder, this->peers, this->owned, this->manifests),
+      ownership(this->folder, this->peers, this->owned, this->manifests,
+                this->views, store, metrics),
+      runner(this->settings.concurrency, this->owned,
              {engine, this->slots, this->cancels, this->hedges, this->retries,
               this->moves, metrics},
              this->view, metrics),
@@ -95,7 +95,7 @@
 {
     this->view.start();
     this->slots.start();
-    this->keeper.start();
+    this->ownership.start();
     this->runner.start();
     this->server = std::make_unique<net::rpc_server>(
         this->settings.listen, open_requests,
@@ -112,7 +112,7 @@
     auto end = control::monotonic_now() + drain_limit;
     while (this->runner.running() > 0 && control::monotonic_now() < end)
         std::this_thread::sleep_for(drain_step);
-    for (const auto& job : this->board.all())
+    for (const auto& job : this->owned.all())
         job->commit();
     this->view.leave();
     logging::event(logging::level::info, "stopped");
@@ -206,7 +206,8 @@
     bool blank = !journal || (journal->length() == 0 && journal->epoch() == 0);
     if (blank && request.position == 0)
     {
-        answer.result = this->keeper.check_new_copy(request.job, request.epoch);
+        answer.result =
+            this->ownership.check_new_copy(request.job, request.epoch);
         if (answer.result != verdict::stored)
             return net::encode(answer);
         journal = this->folder.make_journal(request.job);
@@ -236,13 +237,13 @@
 std::string batch_node::on_job_submit(std::string_view frame)
 {
     return net::encode(
-        this->keeper.submit(net::decode<messages::job_submit>(frame)));
+        this->ownership.submit(net::decode<messages::job_submit>(frame)));
 }
 
 std::string batch_node::on_job_request(std::string_view frame)
 {
     return net::encode(
-        this->keeper.job(net::decode<messages::job_request>(frame)));
+        this->ownership.job(net::decode<messages::job_request>(frame)));
 }
 
 std::string batch_node::on_output_request(std::string_view frame)
--- a/source/batch/batch_node.hpp
+++ b/source/batch/batch_node.hpp
@@ -10,17 +10,17 @@
 #include "batch/batch_folder.hpp"
 #include "batch/batch_peers.hpp"
 #include "batch/item_runner.hpp"
-#include "batch/job_board.hpp"
-#include "batch/job_keeper.hpp"
+#include "batch/job_ownership.hpp"
 #include "batch/job_views.hpp"
 #include "batch/manifest_cache.hpp"
+#include "batch/owned_jobs.hpp"
 #include "control/worker_pool.hpp"
 #include "core/messages/message_kind.hpp"
 #include "metrics/registry.hpp"
 #include "net/rpc_client.hpp"
 #include "net/rpc_server.hpp"
 #include "process/program.hpp"
-#include "routing/canceller.hpp"
+#include "routing/cancellation_queue.hpp"
 #include "routing/generation_run.hpp"
 #include "routing/slot_client.hpp"
 #include "routing/view_client.hpp"
@@ -87,16 +87,16 @@
     core::messages::member self;
     routing::view_client view;
     routing::slot_client slots;
-    routing::canceller cancels;
+    routing::cancellation_queue cancels;
     routing::shared_budget hedges;
     routing::shared_budget retries;
     routing::shared_budget moves;
     batch_folder folder;
     batch_peers peers;
-    job_board board;
+    owned_jobs owned;
     manifest_cache manifests;
     job_views views;
-    job_keeper keeper;
+    job_ownership ownership;
     item_runner runner;
     control::worker_pool caller_work;
     control::worker_pool peer_work;
--- a/source/batch/item_runner.cpp
+++ b/source/batch/item_runner.cpp
@@ -16,7 +16,7 @@
 using nlohmann::json;
 using routing::generation_run;
 
-constexpr milliseconds board_wait{200};
+constexpr milliseconds item_wait{200};
 constexpr milliseconds pump_wait{20};
 constexpr milliseconds item_deadline{3'600'000};
 constexpr milliseconds slot_patience{2000};
@@ -81,10 +81,10 @@
 
 } // namespace
 
-item_runner::item_runner(unsigned threads, job_board& board,
+item_runner::item_runner(unsigned threads, owned_jobs& owned,
                          routing::generation_tools tools,
                          routing::view_client& view, metrics::registry& metrics)
-    : thread_count(threads), board(board), tools(tools), view(view),
+    : thread_count(threads), owned(owned), tools(tools), view(view),
       metrics(metrics)
 {
 }
@@ -111,7 +111,7 @@
 {
     while (!this->stopping)
     {
-        auto item = this->board.next(board_wait);
+        auto item = this->owned.next(item_wait);
         if (!item)
             continue;
         ++this->running_items;
--- a/source/batch/item_runner.hpp
+++ b/source/batch/item_runner.hpp
@@ -6,7 +6,7 @@
 #include <thread>
 #include <vector>
 
-#include "batch/job_board.hpp"
+#include "batch/owned_jobs.hpp"
 #include "metrics/registry.hpp"
 #include "routing/generation_run.hpp"
 #include "routing/view_client.hpp"
@@ -14,11 +14,11 @@
 namespace amaranthhatch::batch
 {
 
-/// @brief Runs items of the board on slots that online work may take back.
+/// @brief Runs items of owned jobs on slots that online work may take back.
 class item_runner
 {
 public:
-    item_runner(unsigned threads, job_board& board,
+    item_runner(unsigned threads, owned_jobs& owned,
                 routing::generation_tools tools, routing::view_client& view,
                 metrics::registry& metrics);
     ~item_runner();
@@ -35,7 +35,7 @@
     void run_item(board_item item);
 
     unsigned thread_count;
-    job_board& board;
+    owned_jobs& owned;
     routing::generation_tools tools;
     routing::view_client& view;
     metrics::registry& metrics;
--- a/source/batch/job_keeper.cpp
+++ b/source/batch/job_ownership.cpp
@@ -1,4 +1,4 @@
-#include "batch/job_keeper.hpp"
+#include "batch/job_ownership.hpp"
 
 #include <algorithm>
 
@@ -59,28 +59,28 @@
 
 } // namespace
 
-job_keeper::job_keeper(batch_folder& folder, batch_peers& peers,
-                       job_board& board, manifest_cache& manifests,
-                       job_views& views, adapters::key_value_store& store,
-                       metrics::registry& metrics)
-    : folder(folder), peers(peers), board(board), manifests(manifests),
+job_ownership::job_ownership(batch_folder& folder, batch_peers& peers,
+                             owned_jobs& owned, manifest_cache& manifests,
+                             job_views& views, adapters::key_value_store& store,
+                             metrics::registry& metrics)
+    : folder(folder), peers(peers), owned(owned), manifests(manifests),
       views(views), store(store), metrics(metrics)
 {
 }
 
-job_keeper::~job_keeper()
+job_ownership::~job_ownership()
 {
     this->stop();
 }
 
-void job_keeper::start()
+void job_ownership::start()
 {
     this->threads.emplace_back([this] { this->watch(); });
     this->threads.emplace_back([this] { this->manage(); });
     this->threads.emplace_back([this] { this->commit_loop(); });
 }
 
-void job_keeper::stop()
+void job_ownership::stop()
 {
     this->stopping = true;
     for (auto& thread : this->threads)
@@ -88,7 +88,7 @@
     this->threads.clear();
 }
 
-void job_keeper::watch()
+void job_ownership::watch()
 {
     std::uint64_t revision = 0;
     while (!this->stopping)
@@ -106,15 +106,15 @@
     }
 }
 
-void job_keeper::take(const adapters::store_entry& entry)
+void job_ownership::take(const adapters::store_entry& entry)
 {
     if (auto news = this->manifests.take(entry))
         this->obey(*news);
 }
 
-void job_keeper::obey(const job_manifest& manifest)
+void job_ownership::obey(const job_manifest& manifest)
 {
-    auto job = this->board.find(manifest.job);
+    auto job = this->owned.find(manifest.job);
     if (!job)
         return;
     bool other = manifest.owner != this->peers.self().name ||
@@ -122,10 +122,10 @@
     if (other || manifest.state == manifest_state::cancelled)
         job->stop();
     if (other)
-        this->board.remove(manifest.job);
+        this->owned.remove(manifest.job);
 }
 
-std::shared_ptr<std::mutex> job_keeper::lock_of(const std::string& job)
+std::shared_ptr<std::mutex> job_ownership::lock_of(const std::string& job)
 {
     std::lock_guard lock(this->guard);
     auto& found = this->locks[job];
@@ -134,8 +134,8 @@
     return found;
 }
 
-job_keeper::write_result job_keeper::write(job_manifest manifest,
-                                           std::uint64_t version)
+job_ownership::write_result job_ownership::write(job_manifest manifest,
+                                                 std::uint64_t version)
 {
     manifest.write = process::random_text();
     auto answer =
@@ -153,7 +153,8 @@
     return result;
 }
 
-messages::submit_answer job_keeper::submit(const messages::job_submit& request)
+messages::submit_answer
+job_ownership::submit(const messages::job_submit& request)
 {
     auto lock = this->lock_of(request.job);
     std::lock_guard turn(*lock);
@@ -196,9 +197,9 @@
     return this->prepare(request, written.now, *input);
 }
 
-messages::submit_answer job_keeper::prepare(const messages::job_submit& request,
-                                            known_manifest reserved,
-                                            const std::string& input)
+messages::submit_answer
+job_ownership::prepare(const messages::job_submit& request,
+                       known_manifest reserved, const std::string& input)
 {
     auto journal = this->folder.make_journal(request.job);
     messages::journal_append first;
@@ -223,7 +224,7 @@
     if (written.result != store_result::done)
         return refused(refusal::store_unreachable, outcome::unknown, {});
     job->settle_second();
-    this->board.add(job);
+    this->owned.add(job);
     logging::event(logging::level::info, "job_accepted")
         .with("job", request.job)
         .with("items", static_cast<std::int64_t>(job->describe().total))
@@ -231,7 +232,7 @@
     return accepted();
 }
 
-bool job_keeper::find_second(const std::shared_ptr<owned_job>& job)
+bool job_ownership::find_second(const std::shared_ptr<owned_job>& job)
 {
     auto preferred = this->manifests.find(job->about().job).manifest.copies;
     for (const auto& host :
@@ -245,7 +246,7 @@
     return false;
 }
 
-void job_keeper::manage()
+void job_ownership::manage()
 {
     while (!this->stopping)
     {
@@ -255,7 +256,7 @@
             if (this->stopping)
                 return;
             const auto& manifest = one.manifest;
-            bool owning = this->board.find(manifest.job) != nullptr;
+            bool owning = this->owned.find(manifest.job) != nullptr;
             auto action = core::jobs::decide_action(
                 manifest, this->peers.self().name, owning, this->peers);
             if (action == manifest_action::take_over)
@@ -263,14 +264,14 @@
             else if (action == manifest_action::repair)
                 this->repair_over(one);
         }
-        for (const auto& job : this->board.all())
+        for (const auto& job : this->owned.all())
             this->care_for(job);
         std::this_thread::sleep_for(manage_interval);
     }
 }
 
-job_keeper::local_copy job_keeper::ensure_local(const job_manifest& manifest,
-                                                journal_file& journal)
+job_ownership::local_copy
+job_ownership::ensure_local(const job_manifest& manifest, journal_file& journal)
 {
     if (journal.length() > 0)
         return journal.seal(manifest.epoch) ? local_copy::ready
@@ -292,7 +293,7 @@
     return all_absent ? local_copy::lost : local_copy::not_yet;
 }
 
-bool job_keeper::win_epoch(known_manifest& from)
+bool job_ownership::win_epoch(known_manifest& from)
 {
     const auto& job = from.manifest.job;
     bool won_before = from.manifest.owner == this->peers.self().name &&
@@ -311,12 +312,12 @@
     return true;
 }
 
-void job_keeper::take_over(known_manifest from)
+void job_ownership::take_over(known_manifest from)
 {
     auto lock = this->lock_of(from.manifest.job);
     std::lock_guard turn(*lock);
     std::string old_owner = from.manifest.owner;
-    if (this->board.find(from.manifest.job) != nullptr ||
+    if (this->owned.find(from.manifest.job) != nullptr ||
         !this->win_epoch(from))
         return;
     const auto& next = from.manifest;
@@ -335,7 +336,7 @@
     auto job = std::make_shared<owned_job>(*description, next.epoch, journal,
                                            this->peers);
     job->recover();
-    this->board.add(job);
+    this->owned.add(job);
     this->metrics.count("hatch_takeovers_total", "result", "done");
     logging::event(logging::level::info, "job_taken_over")
         .with("job", next.job)
@@ -343,7 +344,7 @@
         .with("from", old_owner);
 }
 
-void job_keeper::give_up(const known_manifest& from)
+void job_ownership::give_up(const known_manifest& from)
 {
     job_manifest lost = from.manifest;
     lost.state = manifest_state::lost;
@@ -356,7 +357,7 @@
 
 // A finished or cancelled job has no owner that runs; its results stay
 // readable as long as there are two copies.
-void job_keeper::repair_over(known_manifest from)
+void job_ownership::repair_over(known_manifest from)
 {
     auto lock = this->lock_of(from.manifest.job);
     std::lock_guard turn(*lock);
@@ -379,11 +380,11 @@
     }
 }
 
-void job_keeper::care_for(const std::shared_ptr<owned_job>& job)
+void job_ownership::care_for(const std::shared_ptr<owned_job>& job)
 {
     if (job->is_deposed())
     {
-        this->board.remove(job->about().job);
+        this->owned.remove(job->about().job);
         return;
     }
     auto standing = this->manifests.find(job->about().job);
@@ -414,14 +415,14 @@
     }
     job->settle_second();
     if (wanted.is_over() && job->is_over())
-        this->board.remove(job->about().job);
+        this->owned.remove(job->about().job);
 }
 
-void job_keeper::commit_loop()
+void job_ownership::commit_loop()
 {
     while (!this->stopping)
     {
-        for (const auto& job : this->board.all())
+        for (const auto& job : this->owned.all())
         {
             if (!job->needs_second())
                 job->commit();
@@ -434,7 +435,7 @@
 // owner that was deposed long ago could find it and commit with it. The
 // manifest remembers.
 messages::append_answer::verdict
-job_keeper::check_new_copy(const std::string& job, std::uint64_t epoch)
+job_ownership::check_new_copy(const std::string& job, std::uint64_t epoch)
 {
     using verdict = messages::append_answer::verdict;
     auto answer = this->store.read(manifest_key(job));
@@ -447,9 +448,9 @@
     return manifest->epoch > epoch ? verdict::sealed : verdict::stored;
 }
 
-messages::job_answer job_keeper::job(const messages::job_request& request)
+messages::job_answer job_ownership::job(const messages::job_request& request)
 {
-    auto owned = this->board.find(request.job);
+    auto owned = this->owned.find(request.job);
     if (owned && request.cancel && !owned->cancel())
     {
         auto answer = owned->describe();
--- a/source/batch/job_keeper.hpp
+++ b/source/batch/job_ownership.hpp
@@ -13,9 +13,9 @@
 #include "adapters/key_value_store.hpp"
 #include "batch/batch_folder.hpp"
 #include "batch/batch_peers.hpp"
-#include "batch/job_board.hpp"
 #include "batch/job_views.hpp"
 #include "batch/manifest_cache.hpp"
+#include "batch/owned_jobs.hpp"
 #include "core/jobs/job_manifest.hpp"
 #include "core/messages/jobs.hpp"
 #include "metrics/registry.hpp"
@@ -27,13 +27,13 @@
 ///
 /// Manifests are settled by compare-and-swap in the platform's service; while
 /// it is away, jobs that are owned run on and the others wait.
-class job_keeper
+class job_ownership
 {
 public:
-    job_keeper(batch_folder& folder, batch_peers& peers, job_board& board,
-               manifest_cache& manifests, job_views& views,
-               adapters::key_value_store& store, metrics::registry& metrics);
-    ~job_keeper();
+    job_ownership(batch_folder& folder, batch_peers& peers, owned_jobs& owned,
+                  manifest_cache& manifests, job_views& views,
+                  adapters::key_value_store& store, metrics::registry& metrics);
+    ~job_ownership();
 
     void start();
     void stop();
@@ -85,7 +85,7 @@
 
     batch_folder& folder;
     batch_peers& peers;
-    job_board& board;
+    owned_jobs& owned;
     manifest_cache& manifests;
     job_views& views;
     adapters::key_value_store& store;
--- a/source/batch/job_views.cpp
+++ b/source/batch/job_views.cpp
@@ -34,9 +34,9 @@
 
 } // namespace
 
-job_views::job_views(batch_folder& folder, batch_peers& peers, job_board& board,
-                     manifest_cache& manifests)
-    : folder(folder), peers(peers), board(board), manifests(manifests)
+job_views::job_views(batch_folder& folder, batch_peers& peers,
+                     owned_jobs& owned, manifest_cache& manifests)
+    : folder(folder), peers(peers), owned(owned), manifests(manifests)
 {
 }
 
@@ -77,7 +77,7 @@
 std::uint64_t job_views::committed_end(const std::string& job,
                                        const journal_file& journal) const
 {
-    if (this->board.find(job) != nullptr)
+    if (this->owned.find(job) != nullptr)
         return journal.committed();
     auto known = this->manifests.find(job);
     bool over = known.manifest.is_over() &&
@@ -131,7 +131,7 @@
                       one.manifest.workspace == request.workspace;
         if (!wanted || one.manifest.state == manifest_state::preparing)
             continue;
-        auto owned = this->board.find(one.manifest.job);
+        auto owned = this->owned.find(one.manifest.job);
         if (owned)
             answer.jobs.push_back(owned->describe());
         else if (one.manifest.holds_copy(this->peers.self().name))
--- a/source/batch/job_views.hpp
+++ b/source/batch/job_views.hpp
@@ -5,8 +5,8 @@
 
 #include "batch/batch_folder.hpp"
 #include "batch/batch_peers.hpp"
-#include "batch/job_board.hpp"
 #include "batch/manifest_cache.hpp"
+#include "batch/owned_jobs.hpp"
 #include "core/messages/jobs.hpp"
 
 namespace amaranthhatch::batch
@@ -16,7 +16,7 @@
 class job_views
 {
 public:
-    job_views(batch_folder& folder, batch_peers& peers, job_board& board,
+    job_views(batch_folder& folder, batch_peers& peers, owned_jobs& owned,
               manifest_cache& manifests);
 
     /// @brief A job that this host doesn't run, from its copy if it has one.
@@ -35,7 +35,7 @@
 
     batch_folder& folder;
     batch_peers& peers;
-    job_board& board;
+    owned_jobs& owned;
     manifest_cache& manifests;
 };
 
--- a/source/batch/job_board.cpp
+++ b/source/batch/owned_jobs.cpp
@@ -1,31 +1,31 @@
-#include "batch/job_board.hpp"
+#include "batch/owned_jobs.hpp"
 
 #include <algorithm>
 
 namespace amaranthhatch::batch
 {
 
-void job_board::add(std::shared_ptr<owned_job> job)
+void owned_jobs::add(std::shared_ptr<owned_job> job)
 {
     std::lock_guard lock(this->guard);
     this->jobs[job->about().job] = std::move(job);
     this->arrived.notify_all();
 }
 
-void job_board::remove(const std::string& job)
+void owned_jobs::remove(const std::string& job)
 {
     std::lock_guard lock(this->guard);
     this->jobs.erase(job);
 }
 
-std::shared_ptr<owned_job> job_board::find(const std::string& job) const
+std::shared_ptr<owned_job> owned_jobs::find(const std::string& job) const
 {
     std::lock_guard lock(this->guard);
     auto found = this->jobs.find(job);
     return found == this->jobs.end() ? nullptr : found->second;
 }
 
-std::vector<std::shared_ptr<owned_job>> job_board::all() const
+std::vector<std::shared_ptr<owned_job>> owned_jobs::all() const
 {
     std::lock_guard lock(this->guard);
     std::vector<std::shared_ptr<owned_job>> list;
@@ -34,7 +34,7 @@
     return list;
 }
 
-std::optional<board_item> job_board::take()
+std::optional<board_item> owned_jobs::take()
 {
     std::vector<std::shared_ptr<owned_job>> by_due;
     for (const auto& [name, job] : this->jobs)
@@ -51,7 +51,7 @@
     return std::nullopt;
 }
 
-std::optional<board_item> job_board::next(std::chrono::milliseconds wait)
+std::optional<board_item> owned_jobs::next(std::chrono::milliseconds wait)
 {
     std::unique_lock lock(this->guard);
     if (auto item = this->take())
@@ -60,7 +60,7 @@
     return this->take();
 }
 
-void job_board::changed()
+void owned_jobs::changed()
 {
     std::lock_guard lock(this->guard);
     this->arrived.notify_all();
--- a/source/batch/job_board.hpp
+++ b/source/batch/owned_jobs.hpp
@@ -13,7 +13,7 @@
 namespace amaranthhatch::batch
 {
 
-/// @brief An item taken from the board, with its job.
+/// @brief An item taken from the owned jobs, with its job.
 struct board_item
 {
     std::shared_ptr<owned_job> job;
@@ -21,7 +21,7 @@
 };
 
 /// @brief The jobs that this host owns.
-class job_board
+class owned_jobs
 {
 public:
     void add(std::shared_ptr<owned_job> job);
--- a/source/batches/batch_service.cpp
+++ b/source/batches/batch_service.cpp
@@ -107,7 +107,7 @@
         return;
     this->next_expiry = now + expiry_interval;
     this->expire_jobs();
-    this->jobs.compact_if_large();
+    this->jobs.compact_if_large(this->runtime.settings().disk_bytes);
 }
 
 void batch_service::on_append(const exchange_ptr& exchange)
@@ -165,13 +165,15 @@
         // count of what waits isn't known.
         if (!owner->holds_lease() || !owner->recovered())
             return this->refuse(*job, *exchange, 503, "no lease");
+        if (this->jobs.full(this->runtime.settings().disk_bytes))
+            return this->refuse(*job, *exchange, 503, "disk full");
         if (this->over_limit(*job))
             return this->refuse(*job, *exchange, 429, "over the route's limit");
     }
     this->submissions.push_back(
         {job->id, exchange, host::boot_now() + commit_limit});
     if (!known)
-        this->accept(std::move(*job), exchange);
+        this->accept(std::move(*job));
 }
 
 void batch_service::refuse(const model::job& job,
@@ -205,7 +207,7 @@
     return waiting + wanted > route->backlog_tokens;
 }
 
-void batch_service::accept(model::job&& job, const exchange_ptr&)
+void batch_service::accept(model::job&& job)
 {
     auto owner = this->placement.owner_of(job.id);
     auto made = std::make_shared<model::record>();
--- a/source/batches/batch_service.hpp
+++ b/source/batches/batch_service.hpp
@@ -70,7 +70,7 @@
     void on_reconcile(const exchange_ptr& exchange);
     void on_jobs(const exchange_ptr& exchange);
     void submit(const exchange_ptr& exchange);
-    void accept(core::batches::job&& job, const exchange_ptr& exchange);
+    void accept(core::batches::job&& job);
     void refuse(const core::batches::job& job, http::server_exchange& exchange,
                 int status, std::string_view reason);
     bool over_limit(const core::batches::job& job) const;
--- a/source/batches/job_store.cpp
+++ b/source/batches/job_store.cpp
@@ -16,6 +16,10 @@
 
 // A file of this size is read back in a fraction of a second.
 constexpr std::uint64_t compact_bytes = 48u << 20;
+// A compaction writes a second file beside the first.
+constexpr std::uint64_t compact_part = 4;
+// What is left takes the results of jobs that were accepted before.
+constexpr std::uint64_t full_part = 2;
 
 } // namespace
 
@@ -297,10 +301,17 @@
     return out;
 }
 
-void job_store::compact_if_large()
+bool job_store::full(std::uint64_t limit_bytes) const
 {
-    if (this->disk.size() < compact_bytes ||
-        this->disk.size() < 2 * this->live_bytes)
+    return limit_bytes > 0 && this->disk.size() > limit_bytes / full_part;
+}
+
+void job_store::compact_if_large(std::uint64_t limit_bytes)
+{
+    auto least = limit_bytes == 0
+                     ? compact_bytes
+                     : std::min(compact_bytes, limit_bytes / compact_part);
+    if (this->disk.size() < least || this->disk.size() < 2 * this->live_bytes)
         return;
     std::vector<std::string> frames;
     this->live_bytes = 0;
--- a/source/batches/job_store.hpp
+++ b/source/batches/job_store.hpp
@@ -83,7 +83,12 @@
     }
 
     /// @brief Rewrites the log when most of it belongs to forgotten jobs.
-    void compact_if_large();
+    ///
+    /// The limit is what the log may take of the disk; 0: none is known.
+    void compact_if_large(std::uint64_t limit_bytes);
+
+    /// @brief True where new jobs must wait for a compaction.
+    bool full(std::uint64_t limit_bytes) const;
 
     std::size_t size() const { return this->jobs.size(); }
 
--- a/source/entry/entry_node.hpp
+++ b/source/entry/entry_node.hpp
@@ -14,7 +14,7 @@
 #include "metrics/registry.hpp"
 #include "net/rpc_client.hpp"
 #include "process/program.hpp"
-#include "routing/canceller.hpp"
+#include "routing/cancellation_queue.hpp"
 #include "routing/claim_client.hpp"
 #include "routing/generation_run.hpp"
 #include "routing/slot_client.hpp"
@@ -68,7 +68,7 @@
     routing::slot_client coordinated;
     std::unique_ptr<routing::slot_source> baseline;
     routing::slot_source& slots;
-    routing::canceller cancels;
+    routing::cancellation_queue cancels;
     routing::shared_budget hedges;
     routing::shared_budget retries;
     routing::shared_budget moves;
--- a/source/forward/online_router.cpp
+++ b/source/forward/online_router.cpp
@@ -70,7 +70,7 @@
     if (matched == nullptr)
         return this->answer(*exchange, 404, "no_route");
     if (matched->kind == route_kind::batch)
-        return this->batch(this->current, *matched, std::move(exchange));
+        return this->batch(std::move(exchange));
     std::make_shared<online_run>(this->runtime, this->names, this->current,
                                  *matched, std::move(exchange))
         ->start();
--- a/source/forward/online_router.hpp
+++ b/source/forward/online_router.hpp
@@ -21,10 +21,8 @@
 {
 public:
     /// Takes requests of batch routes.
-    using batch_handler = std::function<void(
-        std::shared_ptr<const core::routes::route_table> table,
-        const core::routes::route& matched,
-        std::shared_ptr<http::server_exchange> exchange)>;
+    using batch_handler =
+        std::function<void(std::shared_ptr<http::server_exchange> exchange)>;
 
     online_router(host::host_runtime& runtime, call_names names,
                   batch_handler batch);
--- a/source/host/graceful_stop.cpp
+++ b/source/host/graceful_stop.cpp
@@ -19,30 +19,17 @@
 } // namespace
 
 graceful_stop::graceful_stop(boost::asio::io_context& loop,
-                             core::milliseconds grace,
+                             const host_settings& settings,
                              core::milliseconds notice, steps todo)
-    : loop(loop), grace(grace), notice(notice), todo(std::move(todo)),
-      signals(loop, SIGTERM, SIGINT, SIGHUP), timer(loop)
+    : loop(loop), settings(settings), notice(notice), todo(std::move(todo)),
+      signals(loop, SIGTERM, SIGINT), timer(loop)
 {
     std::signal(SIGPIPE, SIG_IGN);
-    this->wait_signal();
-}
-
-void graceful_stop::wait_signal()
-{
     this->signals.async_wait(
-        [this](boost::system::error_code error, int number)
+        [this](boost::system::error_code error, int)
         {
-            if (error)
-                return;
-            // The settings that may change while a process runs are bounds,
-            // which the next start reads.
-            if (number == SIGHUP)
-            {
-                logging::event(logging::level::info, "settings_reloaded");
-                return this->wait_signal();
-            }
-            this->begin();
+            if (!error)
+                this->begin();
         });
 }
 
@@ -51,7 +38,7 @@
     this->begun = true;
     this->began = boot_now();
     logging::event(logging::level::info, "stopping")
-        .with("grace_ms", this->grace.count());
+        .with("grace_ms", this->settings.grace.count());
     if (this->todo.announce)
         this->todo.announce();
     this->timer.expires_after(this->notice);
@@ -68,7 +55,7 @@
 {
     auto passed = boot_now() - this->began;
     bool late = static_cast<double>(passed.count()) >
-                cut_share * static_cast<double>(this->grace.count());
+                cut_share * static_cast<double>(this->settings.grace.count());
     bool idle = !this->todo.idle || this->todo.idle();
     if (idle || late)
     {
--- a/source/host/graceful_stop.hpp
+++ b/source/host/graceful_stop.hpp
@@ -28,7 +28,8 @@
         std::function<void()> finish;
     };
 
-    graceful_stop(boost::asio::io_context& loop, core::milliseconds grace,
+    /// The settings' grace may change until the stop begins.
+    graceful_stop(boost::asio::io_context& loop, const host_settings& settings,
                   core::milliseconds notice, steps todo);
 
     /// @brief True once SIGTERM has come.
@@ -37,10 +38,9 @@
 private:
     void begin();
     void wait_idle();
-    void wait_signal();
 
     boost::asio::io_context& loop;
-    core::milliseconds grace;
+    const host_settings& settings;
     core::milliseconds notice;
     steps todo;
     boost::asio::signal_set signals;
--- a/source/host/host_runtime.cpp
+++ b/source/host/host_runtime.cpp
@@ -158,6 +158,13 @@
     this->schedule_check();
 }
 
+void host_runtime::change_settings(const host_settings& changed)
+{
+    this->own = changed;
+    this->copies[static_cast<std::size_t>(copied_part::endpoints)]
+        ->set_interval(endpoint_interval(this->own));
+}
+
 void host_runtime::leave()
 {
     this->leaving = true;
--- a/source/host/host_runtime.hpp
+++ b/source/host/host_runtime.hpp
@@ -63,6 +63,9 @@
 
     void start();
 
+    /// @brief Goes on with changed bounds, seeds or store address.
+    void change_settings(const host_settings& changed);
+
     /// @brief Says to the others that this host leaves.
     void leave();
 
--- a/source/host/host_settings.hpp
+++ b/source/host/host_settings.hpp
@@ -32,6 +32,7 @@
     std::string store_address;
     /// Disks that may be lost at once.
     std::uint32_t lost_disks = 0;
+    /// What the jobs' log may take of the disk; 0: no limit is known.
     std::uint64_t disk_bytes = 0;
     /// How often an endpoint renews its entry.
     core::milliseconds heartbeat{};
@@ -39,12 +40,8 @@
     core::milliseconds drain{};
     /// A process is killed this long after SIGTERM.
     core::milliseconds grace{};
-    /// A configuration is in force everywhere after this time.
-    core::milliseconds config_apply{};
     /// A job stays readable this long after it was submitted.
     core::milliseconds job_status{};
-    /// Share by which a backlog may exceed its limit.
-    double backlog_overshoot = 0;
     /// Used where a refusal can't say better when to come back.
     core::milliseconds retry_after{};
 };
--- a/source/routing/canceller.cpp
+++ b/source/routing/cancellation_queue.cpp
@@ -1,4 +1,4 @@
-#include "routing/canceller.hpp"
+#include "routing/cancellation_queue.hpp"
 
 namespace amaranthhatch::routing
 {
@@ -15,13 +15,14 @@
 
 } // namespace
 
-canceller::canceller(adapters::model_engine& engine) : engine(engine)
+cancellation_queue::cancellation_queue(adapters::model_engine& engine)
+    : engine(engine)
 {
     for (unsigned index = 0; index < thread_count; ++index)
         this->threads.emplace_back([this] { this->run(); });
 }
 
-canceller::~canceller()
+cancellation_queue::~cancellation_queue()
 {
     {
         std::lock_guard lock(this->guard);
@@ -32,7 +33,8 @@
         thread.join();
 }
 
-void canceller::cancel(std::string_view address, std::string_view request)
+void cancellation_queue::cancel(std::string_view address,
+                                std::string_view request)
 {
     std::lock_guard lock(this->guard);
     if (this->orders.size() >= order_limit)
@@ -41,7 +43,7 @@
     this->arrived.notify_one();
 }
 
-void canceller::run()
+void cancellation_queue::run()
 {
     std::unique_lock lock(this->guard);
     while (true)
--- a/source/routing/canceller.hpp
+++ b/source/routing/cancellation_queue.hpp
@@ -13,11 +13,11 @@
 {
 
 /// @brief Cancels generations on engines without holding up the caller.
-class canceller
+class cancellation_queue
 {
 public:
-    explicit canceller(adapters::model_engine& engine);
-    ~canceller();
+    explicit cancellation_queue(adapters::model_engine& engine);
+    ~cancellation_queue();
 
     void cancel(std::string_view address, std::string_view request);
 
--- a/source/routing/generation_run.hpp
+++ b/source/routing/generation_run.hpp
@@ -10,7 +10,7 @@
 #include "core/limits/retry_budget.hpp"
 #include "core/outcome.hpp"
 #include "metrics/registry.hpp"
-#include "routing/canceller.hpp"
+#include "routing/cancellation_queue.hpp"
 #include "routing/slot_client.hpp"
 
 namespace amaranthhatch::routing
@@ -44,7 +44,7 @@
 {
     adapters::model_engine& engine;
     slot_source& slots;
-    canceller& cancels;
+    cancellation_queue& cancels;
     shared_budget& hedges;
     shared_budget& retries;
     /// Resuming a stream elsewhere because its endpoint has become slow.
--- a/source/store/mirror.hpp
+++ b/source/store/mirror.hpp
@@ -60,6 +60,12 @@
     /// Otherwise other hosts' copies keep this one up to date.
     void set_active(bool reads) { this->active = reads; }
 
+    /// @brief Changes the time between two reads, from the next one on.
+    void set_interval(core::milliseconds changed)
+    {
+        this->options.interval = changed;
+    }
+
     const std::map<std::string, entry, std::less<>>& entries() const
     {
         return this->known;
