--- a/tests/platform/batch_path_test.cpp
+++ b/tests/platform/batch_path_test.cpp
@@ -65,7 +65,7 @@
         {
             auto asked = fleet::counters(worker).at("asked");
             for (const auto& each : asked)
-                count += each.at("last") != "" ? 1 : 0;
+                count += each.at("last").get<std::string>().empty() ? 0 : 1;
         }
         return count;
     }
