tests: Keep the logs of a platform fixture that fails

Its logs were gone. Ruled out: a steady fault; the test passed before and in four plays side by side right after. Change: a fixture whose test fails leaves its folder and names it.

--- a/tests/platform/platform_fleet.cpp
+++ b/tests/platform/platform_fleet.cpp
@@ -1,7 +1,9 @@
 #include "platform_fleet.hpp"
 
+#include <exception>
 #include <filesystem>
 #include <fstream>
+#include <iostream>
 #include <sstream>
 
 #include "base64.hpp"
@@ -109,7 +111,11 @@
         for (auto& one : *group)
             one.process.reset();
     this->store.process.reset();
-    if (std::getenv("HATCH_KEEP") == nullptr)
+    // A test that fails leaves its logs, so that it can be traced.
+    bool failed = std::uncaught_exceptions() > 0;
+    if (failed)
+        std::cerr << "logs are kept in " << this->folder << "\n";
+    if (!failed && std::getenv("HATCH_KEEP") == nullptr)
         std::filesystem::remove_all(this->folder);
 }
 
