health: Name the outlier detector by the field's term

Change: names only: outlier_detector, outlier_options, evaluate. A comment of member_service that named what is gone is true again; a function that nothing called is removed. Tests: the core tests passed; the whole script has not run on this commit yet.

--- a/source/coordinator/coordinator_node.cpp
+++ b/source/coordinator/coordinator_node.cpp
@@ -48,11 +48,6 @@
     return self;
 }
 
-core::milliseconds since_boot()
-{
-    return control::monotonic_now();
-}
-
 } // namespace
 
 const coordinator_node::route coordinator_node::routes[] = {
--- a/source/coordinator/member_service.hpp
+++ b/source/coordinator/member_service.hpp
@@ -19,8 +19,8 @@
 class member_service
 {
 public:
-    /// @brief Told when a peer knows a higher configuration revision or
-    /// keeper generation: the peer's address.
+    /// @brief Hears the address of a peer that knows a higher configuration
+    /// revision.
     using newer_handler = std::function<void(const std::string&)>;
 
     member_service(core::members::member_table table,
--- a/source/core/health/slowness_judge.cpp
+++ b/source/core/health/outlier_detector.cpp
@@ -1,4 +1,4 @@
-#include "core/health/slowness_judge.hpp"
+#include "core/health/outlier_detector.hpp"
 
 #include <algorithm>
 
@@ -17,9 +17,11 @@
 
 } // namespace
 
-slowness_judge::slowness_judge(judge_options options) : options(options) {}
+outlier_detector::outlier_detector(outlier_options options) : options(options)
+{
+}
 
-void slowness_judge::set_endpoints(std::span<const std::string> names)
+void outlier_detector::set_endpoints(std::span<const std::string> names)
 {
     std::set<std::string, std::less<>> listed(names.begin(), names.end());
     std::erase_if(this->records, [&](const auto& entry)
@@ -34,8 +36,8 @@
                          0});
 }
 
-void slowness_judge::progress(instant now, std::string_view name, double tokens,
-                              double stream_ms)
+void outlier_detector::progress(instant now, std::string_view name,
+                                double tokens, double stream_ms)
 {
     auto found = this->records.find(name);
     if (found == this->records.end())
@@ -44,10 +46,10 @@
     found->second.recent.add(now, tokens, stream_ms);
     if (tokens > 0)
         found->second.failures = 0;
-    this->judge(now, found->second);
+    this->evaluate(now, found->second);
 }
 
-void slowness_judge::failed(instant now, std::string_view name)
+void outlier_detector::failed(instant now, std::string_view name)
 {
     auto found = this->records.find(name);
     if (found == this->records.end())
@@ -60,7 +62,7 @@
     this->set_aside(now, held);
 }
 
-void slowness_judge::set_aside(instant now, record& held)
+void outlier_detector::set_aside(instant now, record& held)
 {
     held.aside = true;
     held.probe_interval = this->options.least_probe_interval;
@@ -68,14 +70,14 @@
     held.window.clear();
 }
 
-bool slowness_judge::room_aside() const
+bool outlier_detector::room_aside() const
 {
     auto count = static_cast<double>(this->aside().size());
     auto total = static_cast<double>(this->records.size());
     return count + 1 <= total * this->options.most_aside_share;
 }
 
-void slowness_judge::judge(instant now, record& held)
+void outlier_detector::evaluate(instant now, record& held)
 {
     double median = this->median_gap_ms();
     if (median <= 0)
@@ -99,14 +101,14 @@
     held.failures = 0;
 }
 
-bool slowness_judge::is_aside(std::string_view name) const
+bool outlier_detector::is_aside(std::string_view name) const
 {
     auto found = this->records.find(name);
     return found != this->records.end() && found->second.aside;
 }
 
-bool slowness_judge::is_suspect(std::string_view name,
-                                double median_gap_ms) const
+bool outlier_detector::is_suspect(std::string_view name,
+                                  double median_gap_ms) const
 {
     auto found = this->records.find(name);
     if (found == this->records.end())
@@ -117,7 +119,7 @@
            recent.gap_ms() > median_gap_ms * this->options.suspect_factor;
 }
 
-std::vector<std::string> slowness_judge::take_due_probes(instant now)
+std::vector<std::string> outlier_detector::take_due_probes(instant now)
 {
     std::vector<std::string> due;
     for (auto& [name, held] : this->records)
@@ -135,7 +137,7 @@
     return due;
 }
 
-double slowness_judge::gap_ms(std::string_view name) const
+double outlier_detector::gap_ms(std::string_view name) const
 {
     auto found = this->records.find(name);
     bool known =
@@ -143,7 +145,7 @@
     return known ? found->second.window.gap_ms() : 0;
 }
 
-double slowness_judge::median_gap_ms() const
+double outlier_detector::median_gap_ms() const
 {
     std::vector<double> gaps;
     for (const auto& [name, held] : this->records)
@@ -162,7 +164,7 @@
     return *middle;
 }
 
-std::vector<std::string> slowness_judge::aside() const
+std::vector<std::string> outlier_detector::aside() const
 {
     std::vector<std::string> names;
     for (const auto& [name, held] : this->records)
--- a/source/core/health/slowness_judge.hpp
+++ b/source/core/health/outlier_detector.hpp
@@ -14,7 +14,7 @@
 {
 
 /// @brief When an endpoint is set aside and when it may come back.
-struct judge_options
+struct outlier_options
 {
     /// Set aside at this multiple of the group's median gap.
     double slow_factor = 1.9;
@@ -41,10 +41,10 @@
 /// Endpoints' own load reports admit trouble late, so only what callers see
 /// counts: generating time per token, which grows at once when an endpoint
 /// slows down, freezes or falls silent.
-class slowness_judge
+class outlier_detector
 {
 public:
-    explicit slowness_judge(judge_options options);
+    explicit outlier_detector(outlier_options options);
 
     void set_endpoints(std::span<const std::string> names);
 
@@ -85,10 +85,10 @@
 
     void set_aside(instant now, record& held);
 
-    void judge(instant now, record& held);
+    void evaluate(instant now, record& held);
     bool room_aside() const;
 
-    judge_options options;
+    outlier_options options;
     std::map<std::string, record, std::less<>> records;
 };
 
--- a/source/core/slots/slot_scheduler.cpp
+++ b/source/core/slots/slot_scheduler.cpp
@@ -29,7 +29,7 @@
 slot_scheduler::slot_scheduler(std::string group, scheduler_options options,
                                std::uint64_t first_ticket)
     : group(std::move(group)), options(options), next_ticket(first_ticket),
-      judge(options.judge)
+      outliers(options.outliers)
 {
 }
 
@@ -60,7 +60,7 @@
                                       { return one.name == entry.first; });
                       return !on_list && held.online + held.batch == 0;
                   });
-    this->judge.set_endpoints(measured);
+    this->outliers.set_endpoints(measured);
     this->place_waiting(now);
 }
 
@@ -146,7 +146,7 @@
     if (std::find(excluded.begin(), excluded.end(), one.listed.name) !=
         excluded.end())
         return false;
-    return !this->judge.is_aside(one.listed.name);
+    return !this->outliers.is_aside(one.listed.name);
 }
 
 bool slot_scheduler::has_room(const endpoint& one,
@@ -167,7 +167,7 @@
 slot_scheduler::choose_online(const messages::want_slot& request)
 {
     endpoint* best = nullptr;
-    double median_gap_ms = this->judge.median_gap_ms();
+    double median_gap_ms = this->outliers.median_gap_ms();
     double best_load = 0;
     for (auto& [name, one] : this->endpoints_by_name)
     {
@@ -176,7 +176,7 @@
         // Batch streams in the way are cancelled, but they cost the first
         // token some time, so an endpoint with fewer of them is preferred.
         double load = (one.online + 0.5 * one.batch) / one.limit.value();
-        if (this->judge.is_suspect(name, median_gap_ms))
+        if (this->outliers.is_suspect(name, median_gap_ms))
             load += suspect_load;
         if (best == nullptr || load < best_load)
         {
@@ -304,7 +304,7 @@
     {
         this->remove_ticket(one.ticket);
         if (one.failed)
-            this->judge.failed(now, one.endpoint);
+            this->outliers.failed(now, one.endpoint);
         if (one.first_token_ms > 0)
             this->median_first_token_ms +=
                 (one.first_token_ms - this->median_first_token_ms) *
@@ -314,7 +314,7 @@
     this->apply_progress(now, told);
     this->place_waiting(now);
     messages::report_answer answer;
-    answer.leave = this->judge.aside();
+    answer.leave = this->outliers.aside();
     return answer;
 }
 
@@ -353,13 +353,13 @@
 {
     for (const auto& one : told.progress)
     {
-        this->judge.progress(now, one.endpoint, one.tokens, one.stream_ms);
+        this->outliers.progress(now, one.endpoint, one.tokens, one.stream_ms);
         auto found = this->endpoints_by_name.find(one.endpoint);
         if (found == this->endpoints_by_name.end() ||
-            this->judge.is_aside(one.endpoint))
+            this->outliers.is_aside(one.endpoint))
             continue;
         endpoint& on = found->second;
-        on.limit.observe(now, this->judge.gap_ms(one.endpoint),
+        on.limit.observe(now, this->outliers.gap_ms(one.endpoint),
                          this->token_gap_target_ms, on.online + on.batch);
     }
 }
@@ -367,8 +367,8 @@
 void slot_scheduler::probe_ended(instant now, std::string_view endpoint,
                                  std::uint32_t tokens, milliseconds time)
 {
-    this->judge.progress(now, endpoint, tokens,
-                         static_cast<double>(time.count()));
+    this->outliers.progress(now, endpoint, tokens,
+                            static_cast<double>(time.count()));
     this->place_waiting(now);
 }
 
@@ -382,7 +382,7 @@
     }
     for (std::uint64_t number : lapsed)
         this->remove_ticket(number);
-    for (const auto& name : this->judge.take_due_probes(now))
+    for (const auto& name : this->outliers.take_due_probes(now))
     {
         auto found = this->endpoints_by_name.find(name);
         if (found != this->endpoints_by_name.end())
@@ -426,7 +426,7 @@
     for (const auto& [name, one] : this->endpoints_by_name)
         all.push_back({name, this->group, one.limit.value(), one.online,
                        one.batch, one.listed.leaving,
-                       this->judge.is_aside(name)});
+                       this->outliers.is_aside(name)});
     return all;
 }
 
--- a/source/core/slots/slot_scheduler.hpp
+++ b/source/core/slots/slot_scheduler.hpp
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <vector>
 
-#include "core/health/slowness_judge.hpp"
+#include "core/health/outlier_detector.hpp"
 #include "core/instant.hpp"
 #include "core/limits/concurrency_limit.hpp"
 #include "core/messages/members.hpp"
@@ -28,7 +28,7 @@
     std::string address;
     std::string region;
     bool leaving = false;
-    /// Plain services have no tokens to judge by.
+    /// Plain services have no tokens to measure.
     bool measured_by_tokens = true;
 };
 
@@ -43,7 +43,7 @@
     double online_reserve_share = 0.1;
     const queue_order* order = &short_first;
     limits::concurrency_options concurrency;
-    health::judge_options judge;
+    health::outlier_options outliers;
 };
 
 /// @brief An answer to give to a waiter.
@@ -169,7 +169,7 @@
     std::map<std::string, endpoint, std::less<>> endpoints_by_name;
     std::map<std::uint64_t, ticket> tickets;
     std::vector<waiting_request> queue;
-    health::slowness_judge judge;
+    health::outlier_detector outliers;
     scheduler_output output;
     double token_gap_target_ms = 0;
     double mean_size_tokens = 0;
--- a/tests/core/slots_test.cpp
+++ b/tests/core/slots_test.cpp
@@ -317,26 +317,26 @@
     }
 }
 
-TEST_CASE("slowness judge, all endpoints slow down, sets none aside")
+TEST_CASE("outlier detector, all endpoints slow down, sets none aside")
 {
-    health::slowness_judge judge({});
+    health::outlier_detector detector({});
     std::vector<std::string> names = {"a", "b", "c", "d"};
-    judge.set_endpoints(names);
+    detector.set_endpoints(names);
     for (auto now = 0ms; now < 5000ms; now += 50ms)
         for (const auto& name : names)
-            judge.progress(now, name, now < 2000ms ? 50 : 10, 500);
-    CHECK(judge.aside().empty());
+            detector.progress(now, name, now < 2000ms ? 50 : 10, 500);
+    CHECK(detector.aside().empty());
 }
 
-TEST_CASE("slowness judge, many endpoints fail, keeps most of the group")
+TEST_CASE("outlier detector, many endpoints fail, keeps most of the group")
 {
-    health::slowness_judge judge({});
+    health::outlier_detector detector({});
     std::vector<std::string> names = {"a", "b", "c", "d", "e"};
-    judge.set_endpoints(names);
+    detector.set_endpoints(names);
     for (int turn = 0; turn < 3; ++turn)
         for (const auto& name : names)
-            judge.failed(1ms, name);
-    CHECK(judge.aside().size() == 2);
+            detector.failed(1ms, name);
+    CHECK(detector.aside().size() == 2);
 }
 
 TEST_CASE("concurrency limit, gap over target, shrinks and grows again")
