http: Say "not sent" only while a connection is being made

The connect's handler ran first, cancelled the timer and wrote the request; cancelling doesn't stop a handler that is due, so the timer's handler then reported "not sent" for a request whose bytes were written. The entry gave the claim back as not run, and the next call of that key ran a second time. The same client serves the platform's entries and batch hosts, where the same pause would have broken TWICE and REFUSED.

Ruled out: an expired claim (window of ten minutes, half of it checked before the send), a late conditional write (values differ per attempt, versions are checked), another source of not_sent (only connect failures and this timer).

Change: the timer's handler checks that the connect is still going on. Claims, their release and the end of each call that runs once leave a log line; the stand-in service logs each run with its key; a test case with a failed check keeps the logs of its fleets, also where the check doesn't throw.

--- a/source/entry/service_handler.cpp
+++ b/source/entry/service_handler.cpp
@@ -140,6 +140,14 @@
              {}});
     }
     http::reply reply = this->send(call, got.slot);
+    constexpr std::string_view reached[] = {"answered", "not_sent", "unknown"};
+    logging::event(logging::level::info, "once_call")
+        .with("claim", routing::claim_client::store_key(claim_key))
+        .with("version", static_cast<std::int64_t>(held.version))
+        .with("endpoint", got.slot->endpoint)
+        .with("end", reached[static_cast<std::size_t>(reply.reached)])
+        .with("status", reply.status)
+        .with("detail", reply.detail);
     this->slots.release(got.slot, reply.reached != http::progress::answered,
                         {});
     if (reply.reached == http::progress::answered)
--- a/source/http/async_client.cpp
+++ b/source/http/async_client.cpp
@@ -102,6 +102,7 @@
     std::string method;
     steady::time_point usable_until = steady::time_point::max();
     std::uint64_t call_number = 0;
+    bool connecting = false;
     bool head_delivered = false;
     bool skipping = false;
     bool written = false;
@@ -186,11 +187,15 @@
                    [self, detail] { self->end(call_end::not_sent, detail); });
         return;
     }
+    this->connecting = true;
     this->timer.expires_after(outgoing.connect_limit);
+    // After a pause of the process both handlers can be due at once. Cancelling
+    // the timer doesn't stop a handler that is due, so it checks for itself
+    // whether the request may have been written.
     this->timer.async_wait(
         [self](error_code error)
         {
-            if (!error && !self->closed)
+            if (!error && !self->closed && self->connecting)
                 self->end(call_end::not_sent, "connect timeout");
         });
     this->socket.async_connect(peer,
@@ -198,6 +203,7 @@
                                {
                                    if (self->closed)
                                        return;
+                                   self->connecting = false;
                                    self->timer.cancel();
                                    if (error)
                                        return self->end(call_end::not_sent,
--- a/source/routing/claim_client.cpp
+++ b/source/routing/claim_client.cpp
@@ -2,6 +2,7 @@
 
 #include "core/hash.hpp"
 #include "host/boot_clock.hpp"
+#include "logging/event.hpp"
 #include "process/program.hpp"
 
 namespace amaranthhatch::routing
@@ -19,13 +20,13 @@
 
 constexpr std::string_view state_names[] = {"granted", "taken", "unreachable"};
 
-std::string store_key(const std::string& key)
+} // namespace
+
+std::string claim_client::store_key(const std::string& key)
 {
     return "claims/" + core::hash_hex(key);
 }
 
-} // namespace
-
 claim_client::claim_client(adapters::key_value_store& store,
                            std::chrono::milliseconds window,
                            metrics::registry& metrics)
@@ -55,8 +56,14 @@
     }
     else if (answer.result == store_result::conflict)
         out.state = claim_state::taken;
-    this->metrics.count("hatch_claims_total", "result",
-                        state_names[static_cast<std::size_t>(out.state)]);
+    auto name = state_names[static_cast<std::size_t>(out.state)];
+    this->metrics.count("hatch_claims_total", "result", name);
+    logging::event(logging::level::info, "claim")
+        .with("claim", place)
+        .with("result", name)
+        .with("version", static_cast<std::int64_t>(answer.entry.version))
+        .with("after_release", given_back ? 1 : 0)
+        .with("took_ms", (host::boot_now() - began).count());
     return out;
 }
 
@@ -64,9 +71,14 @@
 {
     auto answer =
         this->store.write(store_key(key), free_value, held.version, free_time);
+    bool released = answer.result == store_result::done;
     // A claim that can't be given back ends with its window.
-    if (answer.result != store_result::done)
+    if (!released)
         this->metrics.count("hatch_claims_total", "result", "kept");
+    logging::event(logging::level::info, "claim_released")
+        .with("claim", store_key(key))
+        .with("result", released ? "released" : "kept")
+        .with("version", static_cast<std::int64_t>(held.version));
 }
 
 } // namespace amaranthhatch::routing
--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -3,9 +3,12 @@
 #include <arpa/inet.h>
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
+#include <exception>
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
+#include <iostream>
 #include <sstream>
 #include <sys/file.h>
 #include <sys/socket.h>
@@ -25,6 +28,8 @@
 
 constexpr milliseconds call_limit{60'000};
 
+bool folders_kept = false;
+
 bool is_free(std::uint16_t port)
 {
     int socket_number = socket(AF_INET, SOCK_STREAM, 0);
@@ -167,11 +172,24 @@
     this->write_settings();
 }
 
+void keep_folders(bool keep)
+{
+    folders_kept = keep;
+}
+
+void remove_folder(const std::string& folder)
+{
+    bool kept = folders_kept || std::uncaught_exceptions() > 0;
+    if (kept)
+        std::cerr << "logs are kept in " << folder << "\n";
+    if (!kept && std::getenv("HATCH_KEEP") == nullptr)
+        std::filesystem::remove_all(folder);
+}
+
 fleet::~fleet()
 {
     this->kill_all();
-    if (std::getenv("HATCH_KEEP") == nullptr)
-        std::filesystem::remove_all(this->folder);
+    remove_folder(this->folder);
 }
 
 void fleet::kill_all()
--- a/tests/fleet/fleet.hpp
+++ b/tests/fleet/fleet.hpp
@@ -114,6 +114,13 @@
     std::string node_table(const node& one) const;
 };
 
+/// @brief Makes fleets that end from now on keep their folders, with the logs
+/// of all programs, or not. Also kept while HATCH_KEEP is set.
+void keep_folders(bool keep);
+
+/// @brief Removes a fleet's folder, or says on standard error where it is kept.
+void remove_folder(const std::string& folder);
+
 /// @brief The path of one of the project's programs.
 std::string binary(const std::string& name);
 
--- a/tests/platform/main.cpp
+++ /dev/null
@@ -1,2 +0,0 @@
-#define CATCH_CONFIG_MAIN
-#include <catch2/catch.hpp>
--- a/tests/platform/platform_fleet.cpp
+++ b/tests/platform/platform_fleet.cpp
@@ -111,12 +111,7 @@
         for (auto& one : *group)
             one.process.reset();
     this->store.process.reset();
-    // A test that fails leaves its logs, so that it can be traced.
-    bool failed = std::uncaught_exceptions() > 0;
-    if (failed)
-        std::cerr << "logs are kept in " << this->folder << "\n";
-    if (!failed && std::getenv("HATCH_KEEP") == nullptr)
-        std::filesystem::remove_all(this->folder);
+    fleet::remove_folder(this->folder);
 }
 
 fleet::node platform_fleet::make(const std::string& name,
--- a/tests/standins/standin_service.cpp
+++ b/tests/standins/standin_service.cpp
@@ -1,3 +1,5 @@
+#include <chrono>
+#include <iostream>
 #include <map>
 #include <mutex>
 #include <thread>
@@ -26,7 +28,15 @@
         bool fail = false;
         {
             std::lock_guard lock(this->guard);
-            ++this->runs[std::string(asked.headers.get("Idempotency-Key"))];
+            std::string key(asked.headers.get("Idempotency-Key"));
+            ++this->runs[key];
+            // Kept in the log of a failing test, beside the callers' logs.
+            std::clog << "run key=" << key << " wall_ms="
+                      << std::chrono::duration_cast<std::chrono::milliseconds>(
+                             std::chrono::system_clock::now()
+                                 .time_since_epoch())
+                             .count()
+                      << std::endl;
             ++this->total;
             slow = this->slow_ms;
             lose = this->lose_answers > 0;
