--- a/source/batches/batch_client.cpp
+++ b/source/batches/batch_client.cpp
@@ -37,8 +37,8 @@
 
 const core::peers::peer* batch_client::owner_of(const std::string& job)
 {
-    const auto* entry = this->runtime.mirror_of(host::mirrored_part::system)
-                            .find(this->runtime.system_prefix() + "placement");
+    const auto* entry = this->runtime.mirror_of(host::mirrored_part::placement)
+                            .find(this->runtime.placement_key());
     if (entry == nullptr)
         return nullptr;
     if (entry->revision != this->revision)
--- a/source/batches/batch_service.cpp
+++ b/source/batches/batch_service.cpp
@@ -56,7 +56,7 @@
     runtime.extend_beacon([this](core::peers::beacon& out)
                           { out.backlogs = this->scheduler.backlogs(); });
     runtime.on_beacon([this] { this->scheduler.schedule(); });
-    runtime.on_change(host::mirrored_part::system,
+    runtime.on_change(host::mirrored_part::placement,
                       [this] { this->placement.tick(); });
 }
 
--- a/source/batches/item_run.hpp
+++ b/source/batches/item_run.hpp
@@ -50,7 +50,11 @@
     const std::string& job() const { return this->job_id; }
     std::uint32_t item() const { return this->item_number; }
     const std::string& endpoint() const { return this->endpoint_id; }
-    std::size_t new_events() const { return this->event_count; }
+    /// @brief The time for which the run has held its slot.
+    core::milliseconds running_for(core::instant now) const
+    {
+        return now - this->started;
+    }
     run_state result() const { return this->state; }
 
 private:
--- a/source/batches/item_scheduler.cpp
+++ b/source/batches/item_scheduler.cpp
@@ -23,6 +23,20 @@
 // beacon, so an online request that arrives before the next beacon still finds
 // a free slot.
 constexpr std::uint32_t reserved_slots = 1;
+// Share of an endpoint's slots that may be in use where an item that ends late
+// anyway is run.
+constexpr double late_item_share = 0.5;
+// Weight of the newest item in the mean time that an item holds a slot.
+constexpr double work_weight = 0.1;
+// Until an item has ended, it is taken to need this part of its completion
+// target.
+constexpr int initial_work_divisor = 4;
+// An item that has run for longer than the mean is taken to need this part of
+// the mean still.
+constexpr int least_work_divisor = 8;
+// After a run was interrupted, the loads show it within this time; until then
+// the same excess isn't answered again.
+constexpr core::milliseconds preempt_settle{100};
 
 } // namespace
 
@@ -119,26 +133,78 @@
         else
             runs_by_endpoint[run->endpoint()].push_back(run);
     }
-    auto& endpoints = this->runtime.endpoints();
-    for (auto& [id, endpoint_runs] : runs_by_endpoint)
-    {
-        auto excess = endpoints.excess(id);
-        if (excess == 0)
-            continue;
-        // The excess counts the runs of all hosts at the endpoint, so each host
-        // interrupts only its share of them, starting with the runs that have
-        // received the fewest events.
-        auto peer_runs = this->runtime.peers().load(core::hash(id)).batch;
-        double total = static_cast<double>(endpoint_runs.size()) + peer_runs;
-        auto share = static_cast<std::size_t>(std::ceil(
-            excess * static_cast<double>(endpoint_runs.size()) / total));
-        std::sort(endpoint_runs.begin(), endpoint_runs.end(),
-                  [](const auto& left, const auto& right)
-                  { return left->new_events() < right->new_events(); });
-        for (std::size_t index = 0;
-             index < std::min(share, endpoint_runs.size()); index++)
-            endpoint_runs[index]->interrupt("online");
-    }
+    for (auto& [endpoint, endpoint_runs] : runs_by_endpoint)
+        this->preempt_at(endpoint, endpoint_runs, now);
+    std::erase_if(this->preempted_at, [&](const auto& entry)
+                  { return now - entry.second >= preempt_settle; });
+}
+
+void item_scheduler::preempt_at(
+    const std::string& endpoint,
+    std::vector<std::shared_ptr<item_run>>& endpoint_runs, core::instant now)
+{
+    auto excess = this->runtime.endpoints().excess(endpoint);
+    if (excess == 0 || this->preempted_at.contains(endpoint))
+        return;
+    // The excess counts the runs of all hosts at the endpoint, so each host
+    // interrupts only its share of them. The fraction is rounded at random, as
+    // many hosts with one run each would else all interrupt theirs; it counts
+    // double, so that seldom none of them does.
+    auto own = static_cast<double>(endpoint_runs.size());
+    auto peer_runs =
+        this->runtime.peers().load(core::endpoints::load_key(endpoint)).batch;
+    auto share = excess * own / (own + peer_runs);
+    auto count =
+        std::min(static_cast<std::size_t>(excess),
+                 static_cast<std::size_t>(2 * share + host::uniform()));
+    if (count == 0)
+        return;
+    this->preempted_at[endpoint] = now;
+    std::vector<std::pair<model::item_demand, std::shared_ptr<item_run>>> order;
+    for (const auto& run : endpoint_runs)
+        order.emplace_back(this->demand_of(*run, now), run);
+    std::sort(order.begin(), order.end(),
+              [](const auto& left, const auto& right)
+              { return model::runs_before(right.first, left.first); });
+    for (std::size_t index = 0; index < std::min(count, order.size()); index++)
+        order[index].second->interrupt("online");
+}
+
+model::item_demand item_scheduler::demand_of(const item_run& run,
+                                             core::instant now)
+{
+    const auto* log = this->jobs.find(run.job());
+    const auto* job = log == nullptr ? nullptr : log->submitted();
+    const auto* route = job == nullptr ? nullptr : this->route_of(*job);
+    if (route == nullptr)
+        return {};
+    auto held = this->progress_of(run.job(), run.item()).held_slot +
+                run.running_for(now);
+    return this->demand(*route, job->submitted_ms, held);
+}
+
+model::item_demand item_scheduler::demand(const core::routes::route& route,
+                                          std::int64_t submitted_ms,
+                                          core::milliseconds held) const
+{
+    core::milliseconds due(submitted_ms + route.completion_target.count());
+    auto mean = this->mean_work.find(route.name);
+    auto work = mean == this->mean_work.end()
+                    ? route.completion_target / initial_work_divisor
+                    : core::milliseconds(
+                          static_cast<std::int64_t>(mean->second));
+    return {due - core::milliseconds(host::wall_now_ms()),
+            std::max(work - held, work / least_work_divisor)};
+}
+
+void item_scheduler::record_work(const core::routes::route& route,
+                                 core::milliseconds held)
+{
+    auto [mean, first] = this->mean_work.try_emplace(
+        route.name, static_cast<double>(held.count()));
+    if (!first)
+        mean->second +=
+            work_weight * (static_cast<double>(held.count()) - mean->second);
 }
 
 void item_scheduler::add_candidates(const model::job_log& log,
@@ -166,8 +232,9 @@
         }
         if (now < state.retry_at)
             continue;
-        auto deadline = job.submitted_ms + route->completion_target.count();
-        out.push_back({job.id, item, route, wall_ms > deadline, deadline});
+        out.push_back({job.id, item, route,
+                       this->demand(*route, job.submitted_ms,
+                                    state.held_slot)});
     }
     for (auto item : expired_items)
         this->give_up(job.id, item,
@@ -192,15 +259,9 @@
                 this->add_candidates(*log, now, out);
         }
     }
-    // Jobs that can still meet their completion target are run before jobs that
-    // have missed it.
     std::stable_sort(out.begin(), out.end(),
                      [](const candidate& left, const candidate& right)
-                     {
-                         if (left.late != right.late)
-                             return right.late;
-                         return left.deadline_ms < right.deadline_ms;
-                     });
+                     { return model::runs_before(left.demand, right.demand); });
     return out;
 }
 
@@ -217,8 +278,10 @@
 bool item_scheduler::start_item(const candidate& next, core::instant now)
 {
     auto service = core::routes::select_service(*next.route, host::uniform());
+    bool late = model::chance_of(next.demand) == model::item_chance::late;
     auto chosen = this->runtime.endpoints().choose_batch(
-        service, reserved_slots, now, host::uniform());
+        service, {reserved_slots, late ? late_item_share : 1}, now,
+        host::uniform());
     if (chosen.chosen == nullptr)
         return false;
     const auto* log = this->jobs.find(next.job);
@@ -237,10 +300,17 @@
     std::erase(this->runs, run);
     auto& state = this->progress_of(run->job(), run->item());
     state.running = false;
+    state.held_slot += run->running_for(host::boot_now());
     switch (run->result())
     {
     case item_run::run_state::complete:
     {
+        const auto* log = this->jobs.find(run->job());
+        const auto* route = log == nullptr || log->submitted() == nullptr
+                                ? nullptr
+                                : this->route_of(*log->submitted());
+        if (route != nullptr)
+            this->record_work(*route, state.held_slot);
         std::string text;
         for (const auto& data : state.events.data)
         {
@@ -257,6 +327,7 @@
     case item_run::run_state::failed:
     {
         state.events = {state.events.attempt + 1, {}, {}};
+        state.held_slot = {};
         state.retry_at = host::boot_now() + retry_delay;
         const auto* log = this->jobs.find(run->job());
         const auto* route = log == nullptr || log->submitted() == nullptr
--- a/source/batches/item_scheduler.hpp
+++ b/source/batches/item_scheduler.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "batches/placement_agent.hpp"
+#include "core/batches/item_order.hpp"
 #include "core/batches/item_progress.hpp"
 #include "core/routes/route_table.hpp"
 #include "forward/header_names.hpp"
@@ -23,6 +24,8 @@
     bool running = false;
     core::batches::item_events events;
     core::instant retry_at{};
+    /// Time for which its runs of the present attempt have held slots.
+    core::milliseconds held_slot{};
 };
 
 /// @brief The open items of the jobs that this host owns, by job id and item
@@ -78,12 +81,20 @@
         std::string job;
         std::uint32_t item = 0;
         const core::routes::route* route = nullptr;
-        /// True if the job has missed its completion target.
-        bool late = false;
-        std::int64_t deadline_ms = 0;
+        core::batches::item_demand demand;
     };
 
     void preempt_runs();
+    void preempt_at(const std::string& endpoint,
+                    std::vector<std::shared_ptr<item_run>>& endpoint_runs,
+                    core::instant now);
+    core::batches::item_demand demand_of(const item_run& run,
+                                         core::instant now);
+    core::batches::item_demand demand(const core::routes::route& route,
+                                      std::int64_t submitted_ms,
+                                      core::milliseconds held) const;
+    void record_work(const core::routes::route& route,
+                     core::milliseconds held);
     void start_items();
     std::vector<candidate> candidates(core::instant now);
     void add_candidates(const core::batches::job_log& log, core::instant now,
@@ -103,6 +114,10 @@
     std::shared_ptr<const core::routes::route_table> table;
     batches::open_items progress;
     std::vector<std::shared_ptr<item_run>> runs;
+    /// When runs were last interrupted at an endpoint.
+    std::map<std::string, core::instant> preempted_at;
+    /// Mean time in milliseconds for which an item holds a slot, by route.
+    std::map<std::string, double, std::less<>> mean_work;
     bool scheduling = false;
     bool stopped = false;
 };
--- a/source/batches/placement_agent.cpp
+++ b/source/batches/placement_agent.cpp
@@ -46,7 +46,7 @@
 
 std::string placement_agent::key() const
 {
-    return this->runtime.system_prefix() + "placement";
+    return this->runtime.placement_key();
 }
 
 void placement_agent::set_retiring(std::set<std::string> hosts)
@@ -163,7 +163,7 @@
 void placement_agent::read_placement()
 {
     const auto* found =
-        this->runtime.mirror_of(host::mirrored_part::system).find(this->key());
+        this->runtime.mirror_of(host::mirrored_part::placement).find(this->key());
     if (found == nullptr || found->revision <= this->revision)
         return;
     auto parsed = parse_placement(found->value);
@@ -172,9 +172,21 @@
     this->current = std::move(parsed);
     this->revision = found->revision;
     this->jobs.set_partitions(this->current->partitions.size());
+    this->set_partner_disks();
     this->resume_owners();
 }
 
+// Hosts that share a partition hear each other often enough for leases.
+void placement_agent::set_partner_disks()
+{
+    std::set<std::string, std::less<>> partners;
+    for (const auto& place : this->current->partitions)
+        if (place.holds_copy(this->jobs.disk_identity()))
+            partners.insert(place.copies.begin(), place.copies.end());
+    partners.erase(this->jobs.disk_identity());
+    this->runtime.peers().set_partner_disks(std::move(partners));
+}
+
 // Called when no transfer of ownership can be pending any more: this host has a
 // newer revision of the placement, so that earlier compare-and-swap writes
 // can't take effect, or the store has refused the write.
@@ -218,7 +230,7 @@
 
 void placement_agent::propose_initial()
 {
-    const auto& mirror = this->runtime.mirror_of(host::mirrored_part::system);
+    const auto& mirror = this->runtime.mirror_of(host::mirrored_part::placement);
     bool discovery_done = host::boot_now() - this->started > discovery_time;
     if (mirror.as_of() == 0 || !discovery_done || this->committing)
         return;
@@ -255,8 +267,11 @@
         return this->transfer_ownership(partition, owner, plan);
     }
     const auto& learner = owner.learner();
+    // A learner isn't among the hosts that send beacons often, so it counts as
+    // lost only by the interval that its own beacons name.
     bool usable = !learner.empty() &&
-                  !this->unresponsive(learner, replacement_timeout) &&
+                  this->runtime.peers().live_disk_host(
+                      learner, host::boot_now()) != nullptr &&
                   !this->is_retiring(learner) &&
                   (next_move->to_disk.empty() || next_move->to_disk == learner);
     if (!usable)
@@ -427,6 +442,7 @@
         this->current = next;
         this->revision = result.revision;
         this->jobs.set_partitions(next.partitions.size());
+        this->set_partner_disks();
         this->resume_owners();
         return this->update_owners();
     }
--- a/source/batches/placement_agent.hpp
+++ b/source/batches/placement_agent.hpp
@@ -76,6 +76,7 @@
     };
 
     void read_placement();
+    void set_partner_disks();
     void update_owners();
     void propose_initial();
     void plan_changes(const std::vector<core::batches::disk_host>& hosts);
--- a/source/core/endpoints/endpoint_table.cpp
+++ b/source/core/endpoints/endpoint_table.cpp
@@ -36,9 +36,19 @@
 // Cost per step of distance. An endpoint in the other region (three steps) is
 // preferred to one in the own zone that has two more queued requests.
 constexpr double distance_cost = 1.5;
+// Slots are drawn among the nearer endpoints while more than this share of
+// their slots is free. In the age of a view, some 150 ms, a crest of requests
+// uses about that many.
+constexpr double least_free_share = 0.1;
 
 } // namespace
 
+std::uint64_t load_key(std::string_view endpoint)
+{
+    constexpr std::uint64_t mask = 0xffffffff;
+    return hash(endpoint) & mask;
+}
+
 endpoint_table::endpoint_table(
     std::string own_zone, std::map<std::string, std::string> region_of_zone,
     const peers::peer_table& peer_hosts)
@@ -54,7 +64,7 @@
     for (auto& info : listed)
     {
         auto& record = this->records[info.id];
-        record.id_hash = hash(info.id);
+        record.id_hash = load_key(info.id);
         record.listed = true;
         record.info = std::move(info);
     }
@@ -102,13 +112,12 @@
            !this->is_unresponsive(record, now);
 }
 
-choice endpoint_table::choose_online(std::string_view service,
-                                     std::span<const std::string> excluded,
-                                     instant now, double uniform) const
+std::vector<endpoint_table::candidate>
+endpoint_table::candidates(std::string_view service,
+                           std::span<const std::string> excluded,
+                           instant now) const
 {
-    choice best;
-    double best_cost = 0;
-    std::uint64_t salt = static_cast<std::uint64_t>(uniform * 4294967296.0);
+    std::vector<candidate> out;
     for (const auto& [id, record] : this->records)
     {
         if (!this->is_available(record, service, now) ||
@@ -116,31 +125,110 @@
             continue;
         auto peer_load = this->peer_hosts.load(record.id_hash);
         double online = record.online + peer_load.online;
-        double total = online + record.batch + peer_load.batch;
-        double slots = record.info.slots;
-        double cost = distance_cost * this->distance(record);
-        if (total < slots)
-            cost += total / slots;
-        else if (online < slots)
-            cost += preempt_cost + online / slots;
+        out.push_back({&record, online,
+                       online + record.batch + peer_load.batch,
+                       this->distance(record)});
+    }
+    return out;
+}
+
+// Draws one of the slots that aren't in use, each with the same chance. Takes
+// the nearest endpoints only, as long as a share of their slots is free that
+// the requests of a view's age don't use up.
+const endpoint_table::candidate*
+endpoint_table::draw(std::span<const candidate> from, double candidate::*used,
+                     double uniform)
+{
+    auto free_of = [&](const candidate& each)
+    { return std::max(0.0, each.record->info.slots - each.*used); };
+    for (int reach : {0, 1, 3})
+    {
+        double free = 0;
+        double slots = 0;
+        for (const auto& each : from)
+        {
+            bool near = each.distance <= reach;
+            free += near ? free_of(each) : 0;
+            slots += near ? each.record->info.slots : 0;
+        }
+        bool enough = reach == 3 ? free > 0 : free > slots * least_free_share;
+        if (!enough)
+            continue;
+        double position = uniform * free;
+        const candidate* last = nullptr;
+        for (const auto& each : from)
+        {
+            if (each.distance > reach || free_of(each) <= 0)
+                continue;
+            last = &each;
+            position -= free_of(each);
+            if (position < 0)
+                break;
+        }
+        return last;
+    }
+    return nullptr;
+}
+
+const endpoint_table::candidate*
+endpoint_table::best(std::span<const candidate> from, double uniform) const
+{
+    const candidate* best = nullptr;
+    double best_cost = 0;
+    std::uint64_t salt = static_cast<std::uint64_t>(uniform * 4294967296.0);
+    double jitter = this->peer_hosts.follows_lead() ? per_queued_cost : 0.1;
+    for (const auto& each : from)
+    {
+        double slots = each.record->info.slots;
+        double cost = distance_cost * each.distance;
+        if (each.total < slots)
+            cost += each.total / slots;
+        else if (each.online < slots)
+            cost += preempt_cost + each.online / slots;
         else
-            cost += queue_cost + per_queued_cost * (online - slots);
+            cost += queue_cost + per_queued_cost * (each.online - slots);
         // Ties are broken at random, so that hosts choose different endpoints.
-        cost += 1e-3 * ((record.id_hash ^ salt) % 101);
-        if (best.chosen != nullptr && cost >= best_cost)
+        cost += jitter * static_cast<double>((each.record->id_hash ^ salt) % 101) / 100;
+        if (best != nullptr && cost >= best_cost)
             continue;
         best_cost = cost;
-        best.chosen = &record.info;
-        best.preempts = total >= slots && online < slots;
-        double waiting = std::max(0.0, online - slots + 1);
-        best.expected_wait = milliseconds(static_cast<std::int64_t>(
-            waiting * this->mean_slot_time(service).count() / slots));
+        best = &each;
     }
     return best;
 }
 
+choice endpoint_table::choice_of(const candidate* chosen,
+                                 std::string_view service) const
+{
+    if (chosen == nullptr)
+        return {};
+    double slots = chosen->record->info.slots;
+    double waiting = std::max(0.0, chosen->online - slots + 1);
+    return {&chosen->record->info,
+            milliseconds(static_cast<std::int64_t>(
+                waiting * this->mean_slot_time(service).count() / slots)),
+            chosen->total >= slots && chosen->online < slots};
+}
+
+choice endpoint_table::choose_online(std::string_view service,
+                                     std::span<const std::string> excluded,
+                                     instant now, double uniform) const
+{
+    auto from = this->candidates(service, excluded, now);
+    const candidate* chosen = nullptr;
+    if (this->peer_hosts.follows_lead())
+    {
+        chosen = draw(from, &candidate::total, uniform);
+        if (chosen == nullptr)
+            chosen = draw(from, &candidate::online, uniform);
+    }
+    if (chosen == nullptr)
+        chosen = this->best(from, uniform);
+    return this->choice_of(chosen, service);
+}
+
 choice endpoint_table::choose_batch(std::string_view service,
-                                    std::uint32_t reserve, instant now,
+                                    batch_allowance allowance, instant now,
                                     double uniform) const
 {
     choice best;
@@ -154,7 +242,10 @@
         double total =
             record.online + peer_load.online + record.batch + peer_load.batch;
         double slots = record.info.slots;
-        if (total + reserve >= slots)
+        double usable =
+            std::max(1.0, std::min(slots - allowance.reserve,
+                                   slots * allowance.share));
+        if (total >= usable)
             continue;
         // Prefers endpoints with low load, since busy ones are the first to
         // preempt batch work.
--- a/source/core/endpoints/endpoint_table.hpp
+++ b/source/core/endpoints/endpoint_table.hpp
@@ -59,6 +59,19 @@
     bool preempts = false;
 };
 
+/// @brief The part of an endpoint's slots that batch requests may use.
+struct batch_allowance
+{
+    /// Slots that stay free for online requests.
+    std::uint32_t reserve = 0;
+    /// Share of the slots that may be in use, online requests included.
+    double share = 1;
+};
+
+/// @brief The number by which beacons name an endpoint. 32 bits, as each beacon
+/// names hundreds of endpoints.
+std::uint64_t load_key(std::string_view endpoint);
+
 /// @brief Identifies a running request at an endpoint.
 struct run_key
 {
@@ -86,17 +99,20 @@
     const endpoint* find(std::string_view id) const;
     std::size_t size() const { return this->records.size(); }
 
-    /// @brief Chooses the best endpoint for an online request.
+    /// @brief Chooses an endpoint for an online request.
     ///
-    /// Skips the endpoints in excluded; uniform in [0, 1) breaks ties.
+    /// Prefers a free slot, then one that batch work holds, then the shortest
+    /// queue. Where the loads come from the zone's lead, slots are drawn at
+    /// random: many hosts then act on one view that is some hundred
+    /// milliseconds old, and would all choose its best endpoint. Skips the
+    /// endpoints in excluded; uniform lies in [0, 1).
     choice choose_online(std::string_view service,
                          std::span<const std::string> excluded, instant now,
                          double uniform) const;
 
     /// @brief Chooses the best endpoint with a free slot for a batch request.
     ///
-    /// Keeps reserve slots of each endpoint free for online requests.
-    choice choose_batch(std::string_view service, std::uint32_t reserve,
+    choice choose_batch(std::string_view service, batch_allowance allowance,
                         instant now, double uniform) const;
 
     /// @brief Records the start of a request.
@@ -146,6 +162,22 @@
         std::uint32_t failures = 0;
     };
 
+    struct candidate
+    {
+        const endpoint_record* record = nullptr;
+        double online = 0;
+        double total = 0;
+        int distance = 0;
+    };
+
+    std::vector<candidate> candidates(std::string_view service,
+                                      std::span<const std::string> excluded,
+                                      instant now) const;
+    static const candidate* draw(std::span<const candidate> from,
+                                 double candidate::*used, double uniform);
+    const candidate* best(std::span<const candidate> from,
+                          double uniform) const;
+    choice choice_of(const candidate* chosen, std::string_view service) const;
     bool is_available(const endpoint_record& record, std::string_view service,
                       instant now) const;
     bool is_unresponsive(const endpoint_record& record, instant now) const;
--- a/source/core/peers/beacon.hpp
+++ b/source/core/peers/beacon.hpp
@@ -4,6 +4,8 @@
 #include <string>
 #include <vector>
 
+#include "core/instant.hpp"
+
 namespace amaranthhatch::core::peers
 {
 
@@ -46,12 +48,27 @@
     std::uint64_t tokens = 0;
 };
 
+/// @brief Whose loads a beacon holds.
+enum class beacon_scope : std::uint8_t
+{
+    /// The sender's own.
+    host,
+    /// None; the beacon shows that its sender lives.
+    presence,
+    /// The sums over the sender's zone, for the leads of other zones.
+    zone,
+    /// The sums over all zones, for the hosts of the sender's zone.
+    fleet
+};
+
 /// @brief Status message that hosts send each other many times a second.
 ///
-/// A host sends its own beacon to the hosts of its zone; hosts with a disk also
-/// send theirs to each other. One host of each zone, the lead, sends the sum of
-/// its zone's loads to the other zones, so that the number of messages between
-/// zones doesn't grow with the number of hosts.
+/// In a small zone each host sends its beacon to all others. In a large one it
+/// sends them to the zone's two relays, and the first relay, the lead, sends
+/// the sums of all loads back, so that the number of messages grows with the
+/// number of hosts and not with its square. The lead also sends the sums of its
+/// zone to the leads of the other zones. Hosts with a disk send their beacons
+/// to the hosts with which they share a partition, and to the others seldom.
 struct beacon
 {
     std::string name;
@@ -64,11 +81,15 @@
     std::string region;
     /// Identifies the disk of a host that stores jobs; empty otherwise.
     std::string disk;
+    /// Processor share of the sender's host, in thousandths of a core; the
+    /// hosts with the largest share relay for their zone.
+    std::uint32_t capacity = 0;
+    /// The receiver gets the sender's next beacon within this time.
+    milliseconds next_within{};
     bool leaving = false;
     /// True while the sender gets no response from the store.
     bool store_unreachable = false;
-    /// True where the loads are the sums over the sender's zone.
-    bool zone_summary = false;
+    beacon_scope scope = beacon_scope::host;
     std::vector<echo> echoes;
     std::vector<endpoint_load> loads;
     std::vector<copy_revision> copies;
--- a/source/core/peers/peer_table.cpp
+++ b/source/core/peers/peer_table.cpp
@@ -7,11 +7,31 @@
 namespace amaranthhatch::core::peers
 {
 
+namespace
+{
+
+constexpr std::size_t relay_count = 2;
+// Missed beacons after which a host that names its interval isn't alive, and
+// the delay that is allowed besides.
+constexpr int missed_beacons = 3;
+constexpr milliseconds beacon_delay{400};
+// A relay sends something to its whole zone five times in this time.
+constexpr milliseconds relay_timeout{1000};
+// Time for which a relay that was silent is passed over; a restarted process
+// is back by then.
+constexpr milliseconds relay_exclusion{3000};
+// Sums of another lead are taken over at once where those of the present lead
+// are older than this.
+constexpr milliseconds lead_switch_age{300};
+
+} // namespace
+
 peer_table::peer_table(std::string own_name, std::string own_zone,
-                       std::uint64_t own_incarnation, limits bounds)
+                       std::uint64_t own_incarnation, limits bounds,
+                       std::uint32_t own_capacity)
     : own_name(std::move(own_name)), own_zone(std::move(own_zone)),
       own_hash(hash(this->own_name)), own_incarnation(own_incarnation),
-      bounds(bounds)
+      bounds(bounds), own_capacity(own_capacity)
 {
 }
 
@@ -35,8 +55,11 @@
     entry.zone = message.zone;
     entry.region = message.region;
     entry.disk = message.disk;
+    entry.capacity = message.capacity;
     entry.incarnation = message.incarnation;
     entry.last_received = now;
+    entry.next_within = message.next_within;
+    entry.relay_excluded_until = {};
     entry.sent_ms = std::max(entry.sent_ms, message.sent_ms);
     entry.leaving = message.leaving;
     entry.store_unreachable = message.store_unreachable;
@@ -47,8 +70,10 @@
 {
     if (message.name == this->own_name)
         return false;
-    if (message.zone_summary)
+    if (message.scope == beacon_scope::zone)
         return this->receive_summary(message, now);
+    if (message.scope == beacon_scope::fleet)
+        return this->receive_fleet_view(message, now);
     auto& entry = this->peers[message.name];
     bool same_start = entry.incarnation == message.incarnation;
     if (same_start && message.sent_ms < entry.sent_ms)
@@ -58,7 +83,7 @@
     this->update_peer(entry, message, now);
     entry.backlogs = message.backlogs;
     // Loads of hosts in other zones are counted from their zone's summary.
-    if (message.zone == this->own_zone)
+    if (message.zone == this->own_zone && message.scope == beacon_scope::host)
     {
         this->add_loads(entry.loads, -1);
         entry.loads = message.loads;
@@ -93,19 +118,110 @@
     return true;
 }
 
+bool peer_table::receive_fleet_view(const beacon& message, instant now)
+{
+    if (message.zone != this->own_zone)
+        return false;
+    auto& sender = this->peers[message.name];
+    bool same_start = sender.incarnation == message.incarnation;
+    if (same_start && message.sent_ms < sender.sent_ms)
+        return false;
+    if (!same_start)
+        sender.sent_ms = 0;
+    this->update_peer(sender, message, now);
+    sender.backlogs = message.backlogs;
+    bool present_lead = this->view.lead == message.name ||
+                        now - this->view.last_received > lead_switch_age;
+    if (this->leads_zone(now) || !present_lead)
+        return true;
+    this->view.lead = message.name;
+    this->view.incarnation = message.incarnation;
+    this->view.sent_ms = message.sent_ms;
+    this->view.last_received = now;
+    this->view.loads.clear();
+    for (const auto& load : message.loads)
+        this->view.loads[load.endpoint] = load;
+    this->following = true;
+    return true;
+}
+
+// A host that leaves or was silent as a relay has no part in its zone's work.
+bool peer_table::eligible(const peer& other, instant now) const
+{
+    return other.zone == this->own_zone && !other.leaving &&
+           now >= other.relay_excluded_until && this->alive(other, now);
+}
+
+bool peer_table::ranks_before_self(const peer& other) const
+{
+    return other.capacity != this->own_capacity
+               ? other.capacity > this->own_capacity
+               : other.name < this->own_name;
+}
+
 bool peer_table::first_in_zone(instant now, bool reaching_store) const
 {
-    return std::none_of(this->peers.begin(), this->peers.end(),
-                        [&](const auto& named_peer)
-                        {
-                            const peer& other = named_peer.second;
-                            bool counts =
-                                !other.leaving &&
-                                (!reaching_store || !other.store_unreachable) &&
-                                this->alive(other, now);
-                            return counts && other.zone == this->own_zone &&
-                                   named_peer.first < this->own_name;
-                        });
+    return std::none_of(
+        this->peers.begin(), this->peers.end(),
+        [&](const auto& named_peer)
+        {
+            const peer& other = named_peer.second;
+            return (!reaching_store || !other.store_unreachable) &&
+                   this->eligible(other, now) && this->ranks_before_self(other);
+        });
+}
+
+std::vector<const peer*> peer_table::relays(instant now) const
+{
+    std::vector<const peer*> ranked;
+    for (const auto& [name, entry] : this->peers)
+        if (this->eligible(entry, now))
+            ranked.push_back(&entry);
+    std::sort(ranked.begin(), ranked.end(),
+              [](const peer* left, const peer* right)
+              {
+                  return left->capacity != right->capacity
+                             ? left->capacity > right->capacity
+                             : left->name < right->name;
+              });
+    ranked.resize(std::min(ranked.size(), relay_count));
+    if (this->is_relay(now) && ranked.size() == relay_count)
+        ranked.pop_back();
+    return ranked;
+}
+
+bool peer_table::is_relay(instant now) const
+{
+    auto before = std::count_if(this->peers.begin(), this->peers.end(),
+                                [&](const auto& named_peer)
+                                {
+                                    const peer& other = named_peer.second;
+                                    return this->eligible(other, now) &&
+                                           this->ranks_before_self(other);
+                                });
+    return static_cast<std::size_t>(before) < relay_count;
+}
+
+void peer_table::check_relays(instant now)
+{
+    std::set<std::string, std::less<>> current;
+    for (const auto* relay : this->relays(now))
+        current.insert(relay->name);
+    for (auto& [name, entry] : this->peers)
+    {
+        if (!current.contains(name))
+        {
+            entry.relay_since = {};
+            continue;
+        }
+        if (entry.relay_since == instant::zero())
+            entry.relay_since = now;
+        auto heard = std::max(entry.last_received, entry.relay_since);
+        if (now - heard <= relay_timeout)
+            continue;
+        entry.relay_excluded_until = now + relay_exclusion;
+        entry.relay_since = {};
+    }
 }
 
 bool peer_table::leads_zone(instant now) const
@@ -159,6 +275,31 @@
     return out;
 }
 
+std::vector<endpoint_load> peer_table::fleet_loads() const
+{
+    std::vector<endpoint_load> out;
+    for (const auto& [endpoint, load] : this->sums)
+        out.push_back(load);
+    return out;
+}
+
+void peer_table::set_reported(std::vector<endpoint_load> loads)
+{
+    this->reported.clear();
+    for (const auto& load : loads)
+        this->reported[load.endpoint] = load;
+}
+
+void peer_table::set_partner_disks(std::set<std::string, std::less<>> disks)
+{
+    this->partner_disks = std::move(disks);
+}
+
+bool peer_table::is_partner(const peer& other) const
+{
+    return !other.disk.empty() && this->partner_disks.contains(other.disk);
+}
+
 std::vector<endpoint_load> peer_table::zone_loads() const
 {
     std::map<std::uint64_t, endpoint_load> sum;
@@ -199,6 +340,7 @@
         entry.zone = registration.zone;
         entry.region = registration.region;
         entry.disk = registration.disk;
+        entry.capacity = registration.capacity;
         entry.incarnation = registration.incarnation;
         entry.sent_ms = 0;
     }
@@ -221,6 +363,10 @@
 
 void peer_table::expire_loads(instant now)
 {
+    this->following =
+        !this->view.lead.empty() &&
+        now - this->view.last_received <= this->bounds.load_expiry &&
+        !this->leads_zone(now);
     for (auto& [zone, summary] : this->summaries)
     {
         bool old = now - summary.last_received > this->bounds.load_expiry;
@@ -267,24 +413,35 @@
 
 bool peer_table::alive(const peer& other, instant now) const
 {
+    auto timeout =
+        std::max(this->bounds.alive_timeout,
+                 other.next_within * missed_beacons + beacon_delay);
     return other.last_received > instant::zero() &&
-           now - other.last_received <= this->bounds.alive_timeout;
+           now - other.last_received <= timeout;
 }
 
 std::vector<echo> peer_table::disk_echoes(instant now) const
 {
     std::vector<echo> out;
     for (const auto& [name, entry] : this->peers)
-        if (!entry.disk.empty() && this->alive(entry, now))
+        if (this->is_partner(entry) && this->alive(entry, now))
             out.push_back({hash(name), entry.incarnation, entry.sent_ms});
     return out;
 }
 
 endpoint_load peer_table::load(std::uint64_t endpoint) const
 {
-    auto found = this->sums.find(endpoint);
-    return found == this->sums.end() ? endpoint_load{endpoint, 0, 0}
-                                     : found->second;
+    const auto& loads = this->following ? this->view.loads : this->sums;
+    auto found = loads.find(endpoint);
+    if (found == loads.end())
+        return {endpoint, 0, 0};
+    auto total = found->second;
+    auto own = this->reported.find(endpoint);
+    if (!this->following || own == this->reported.end())
+        return total;
+    total.online -= std::min(total.online, own->second.online);
+    total.batch -= std::min(total.batch, own->second.batch);
+    return total;
 }
 
 std::uint64_t peer_table::backlog_tokens(std::uint64_t route, instant now) const
--- a/source/core/peers/peer_table.hpp
+++ b/source/core/peers/peer_table.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -20,9 +21,17 @@
     std::string zone;
     std::string region;
     std::string disk;
+    std::uint32_t capacity = 0;
     std::uint64_t incarnation = 0;
     /// When its last beacon arrived; zero where none has arrived.
     instant last_received{};
+    /// The time within which it sends its next beacon, by its last one.
+    milliseconds next_within{};
+    /// Since when this host has taken the peer for a relay of its zone; zero
+    /// where it doesn't.
+    instant relay_since{};
+    /// Until then the peer isn't taken for a relay, as it was silent.
+    instant relay_excluded_until{};
     /// Its clock's value in its last beacon, which this host echoes.
     std::int64_t sent_ms = 0;
     /// Send time, by this host's clock, of the newest own beacon that the peer
@@ -45,14 +54,16 @@
     {
         /// After this time the loads of a host no longer count.
         milliseconds load_expiry;
-        /// After this time a host counts as not alive.
+        /// After this time a host counts as not alive, or after three of the
+        /// intervals that its last beacon named, where these are longer.
         milliseconds alive_timeout;
         /// After this time a host without a registration is removed.
         milliseconds removal_timeout;
     };
 
     peer_table(std::string own_name, std::string own_zone,
-               std::uint64_t own_incarnation, limits bounds);
+               std::uint64_t own_incarnation, limits bounds,
+               std::uint32_t own_capacity = 0);
 
     /// @brief Applies a beacon; false where it is ignored, because it is older
     /// than one already applied or is this host's own.
@@ -81,17 +92,32 @@
         return this->peers;
     }
 
-    /// @brief Echoes of live hosts with a disk, to be put into the next beacon.
+    /// @brief Sets the disks that hold copies of the same partitions as this
+    /// host's disk. Their hosts get beacons often, and echoes.
+    void set_partner_disks(std::set<std::string, std::less<>> disks);
+    bool is_partner(const peer& other) const;
+
+    /// @brief Echoes of live partner hosts, to be put into the next beacon.
     std::vector<echo> disk_echoes(instant now) const;
 
-    /// @brief True where this host sends the summary of its zone: of the live
-    /// hosts there, its name sorts first.
+    /// @brief True where this host sends the sums of its zone: of the live
+    /// hosts there, it ranks first by capacity, then by name.
     bool leads_zone(instant now) const;
 
     /// @brief True where this host reads the store for its zone: of the live
-    /// hosts there that reach the store, its name sorts first.
+    /// hosts there that reach the store, it ranks first.
     bool reads_for_zone(instant now) const;
 
+    /// @brief The first two live hosts of this zone by rank, without this host.
+    std::vector<const peer*> relays(instant now) const;
+
+    /// @brief True where this host is one of the zone's two relays.
+    bool is_relay(instant now) const;
+
+    /// @brief Excludes relays that have been silent, so that the next hosts by
+    /// rank take their place; to be called often.
+    void check_relays(instant now);
+
     /// @brief Live hosts of this zone, this one included.
     std::size_t zone_size(instant now) const;
 
@@ -102,9 +128,21 @@
     /// @brief The loads of this zone's other hosts, by endpoint.
     std::vector<endpoint_load> zone_loads() const;
 
-    /// @brief Sum of the requests that other hosts run at an endpoint.
+    /// @brief The loads of all other hosts, by endpoint, as this host sums them
+    /// from beacons of its zone and summaries of the others.
+    std::vector<endpoint_load> fleet_loads() const;
+
+    /// @brief Records the own loads that the relays have been told. They are
+    /// contained in the sums that the lead sends back.
+    void set_reported(std::vector<endpoint_load> loads);
+
+    /// @brief Sum of the requests that other hosts run at an endpoint: by the
+    /// lead's last message where it is current, else as this host sums them.
     endpoint_load load(std::uint64_t endpoint) const;
 
+    /// @brief True while the loads come from the lead of the zone.
+    bool follows_lead() const { return this->following; }
+
     /// @brief Sum of the tokens of unfinished batch items that other live hosts
     /// own on a route.
     std::uint64_t backlog_tokens(std::uint64_t route, instant now) const;
@@ -122,8 +160,21 @@
         std::vector<endpoint_load> loads;
     };
 
+    /// @brief The loads of the whole fleet as a zone's lead last sent them.
+    struct fleet_view
+    {
+        std::string lead;
+        std::uint64_t incarnation = 0;
+        std::int64_t sent_ms = 0;
+        instant last_received{};
+        std::map<std::uint64_t, endpoint_load> loads;
+    };
+
     bool first_in_zone(instant now, bool reaching_store) const;
+    bool eligible(const peer& other, instant now) const;
+    bool ranks_before_self(const peer& other) const;
     bool receive_summary(const beacon& message, instant now);
+    bool receive_fleet_view(const beacon& message, instant now);
     void update_peer(peer& entry, const beacon& message, instant now);
     void add_loads(const std::vector<endpoint_load>& loads, int sign);
 
@@ -132,7 +183,13 @@
     std::uint64_t own_hash;
     std::uint64_t own_incarnation;
     limits bounds;
+    std::uint32_t own_capacity;
     std::map<std::string, peer, std::less<>> peers;
+    std::set<std::string, std::less<>> partner_disks;
+    fleet_view view;
+    bool following = false;
+    /// Own loads in the last beacon to the relays.
+    std::map<std::uint64_t, endpoint_load> reported;
     std::map<std::string, zone_summary, std::less<>> summaries;
     /// Loads by endpoint, summed over peers and zones; maintained on each
     /// change, so that choosing an endpoint needs no loop over hosts.
--- a/source/host/host_runtime.cpp
+++ b/source/host/host_runtime.cpp
@@ -16,7 +16,7 @@
 namespace
 {
 
-constexpr std::size_t part_count = 3;
+constexpr std::size_t part_count = 4;
 
 // Longest wait of one watch call. The watched keys change seldom, and TCP
 // keep-alive probes detect a dead connection in the meantime.
@@ -32,6 +32,12 @@
 constexpr core::milliseconds registration_retry{2000};
 constexpr core::milliseconds check_interval{200};
 constexpr core::milliseconds pull_timeout{500};
+// Time between two fetches of a peer's copy, per host of the zone: the host
+// that reads for it serves at most 100 a second for each part.
+constexpr core::milliseconds pull_interval_per_host{10};
+// Registrations change all at once when many hosts start; they are read again
+// at most this often.
+constexpr core::milliseconds hosts_watch_pause{300};
 // After an outage of the store, endpoints write their expired entries again
 // within two seconds; mirrors retain these entries slightly longer.
 constexpr core::milliseconds expiry_grace{2300};
@@ -48,9 +54,16 @@
     return std::min(settings.heartbeat, settings.drain / reads_in_drain);
 }
 
-bool is_polled(std::size_t part)
+bool is(std::size_t part, mirrored_part which)
 {
-    return part == static_cast<std::size_t>(mirrored_part::endpoints);
+    return part == static_cast<std::size_t>(which);
+}
+
+// True for the parts that change often or are long. They are fetched from hosts
+// of the own zone only, as traffic between zones is billed.
+bool stays_in_zone(std::size_t part)
+{
+    return is(part, mirrored_part::endpoints) || is(part, mirrored_part::hosts);
 }
 
 std::uint64_t random_number()
@@ -70,7 +83,7 @@
       disk_id(std::move(disk_id)), own_incarnation(random_number()),
       peer_hosts(this->current_settings.name, this->current_settings.zone,
                  this->own_incarnation,
-                 {load_expiry, peer_timeout, peer_removal}),
+                 {load_expiry, peer_timeout, peer_removal}, this->capacity()),
       table(this->current_settings.zone, this->current_settings.region_of_zone,
             this->peer_hosts),
       socket(
@@ -84,7 +97,8 @@
                   callback();
           }),
       listeners(part_count), check_timer(loop), registration_timer(loop),
-      pulling(part_count, false), behind_since(part_count)
+      pulling(part_count, false), last_pull(part_count),
+      behind_since(part_count)
 {
     auto add_mirror = [this](store::mirror_options options)
     {
@@ -95,15 +109,26 @@
                 store::mirror_mode::watch,
                 watch_wait,
                 {},
+                {},
                 {}});
-    add_mirror({this->layout.system_prefix,
+    add_mirror({this->hosts_prefix(),
                 store::mirror_mode::watch,
                 watch_wait,
                 {},
+                {},
+                hosts_watch_pause});
+    add_mirror({this->placement_key(),
+                store::mirror_mode::watch,
+                watch_wait,
+                {},
+                {},
+                {}});
+    add_mirror({this->layout.endpoint_prefix,
+                store::mirror_mode::poll,
+                endpoint_interval(this->current_settings),
+                expiry_grace,
+                this->current_settings.heartbeat * expiry_heartbeats,
                 {}});
-    add_mirror({this->layout.endpoint_prefix, store::mirror_mode::poll,
-                endpoint_interval(this->current_settings), expiry_grace,
-                this->current_settings.heartbeat * expiry_heartbeats});
     for (std::size_t part = 0; part < part_count; part++)
         this->mirrors[part]->on_change(
             [this, part]
@@ -111,8 +136,7 @@
                 for (const auto& callback : this->listeners[part])
                     callback();
             });
-    this->on_change(mirrored_part::system,
-                    [this] { this->on_system_change(); });
+    this->on_change(mirrored_part::hosts, [this] { this->on_hosts_change(); });
 }
 
 void host_runtime::serve(std::string prefix, handler handle)
@@ -205,6 +229,7 @@
     beacon.zone = this->current_settings.zone;
     beacon.region = this->current_settings.region;
     beacon.disk = this->disk_id;
+    beacon.capacity = this->capacity();
     beacon.leaving = this->leaving;
     beacon.store_unreachable =
         std::any_of(this->mirrors.begin(), this->mirrors.end(),
@@ -259,19 +284,33 @@
     exchange.respond(200, {}, peers::pack(mirror.snapshot()));
 }
 
-void host_runtime::on_system_change()
+std::string host_runtime::hosts_prefix() const
+{
+    return this->layout.system_prefix + "hosts/";
+}
+
+std::string host_runtime::placement_key() const
+{
+    return this->layout.system_prefix + "placement";
+}
+
+// Hosts with a disk have jobs to run, so they relay only where no other does.
+std::uint32_t host_runtime::capacity() const
+{
+    return this->disk_id.empty() ? this->current_settings.capacity : 0;
+}
+
+void host_runtime::on_hosts_change()
 {
     std::vector<core::peers::peer> listed;
-    auto prefix = this->layout.system_prefix + "hosts/";
-    const auto& entries = this->mirror_of(mirrored_part::system).entries();
-    for (auto position = entries.lower_bound(prefix);
-         position != entries.end() && position->first.starts_with(prefix);
-         position++)
+    auto prefix = this->hosts_prefix();
+    for (const auto& [key, entry] :
+         this->mirror_of(mirrored_part::hosts).entries())
     {
-        auto registered = unpack_registration(position->second.value);
+        auto registered = unpack_registration(entry.value);
         if (!registered)
             continue;
-        registered->name = position->first.substr(prefix.size());
+        registered->name = key.substr(prefix.size());
         listed.push_back(std::move(*registered));
     }
     this->peer_hosts.set_registered(listed);
@@ -300,9 +339,10 @@
     for (std::size_t part = 0; part < part_count; part++)
     {
         // Hosts with a disk act on the placement, so they read it themselves.
-        bool always_reads = !is_polled(part) && !this->disk_id.empty();
+        bool always_reads = !stays_in_zone(part) && !this->disk_id.empty();
         bool behind = this->behind_since[part].count() > 0 &&
-                      now - this->behind_since[part] > pull_timeout;
+                      now - this->behind_since[part] >
+                          pull_timeout + 2 * this->pull_interval(now);
         this->mirrors[part]->set_active(reads_store || always_reads || behind);
         this->follow_peers(part, now);
     }
@@ -323,15 +363,13 @@
             peer.copies.size() != part_count)
             continue;
         // A peer's copy is fetched if it has a change that this host missed,
-        // as on a dead connection, or if the store can't be reached. Traffic
-        // between zones is billed, so polled parts come from other zones only
-        // while the store can't be reached.
+        // as on a dead connection, or if the store can't be reached.
         const auto& peer_copy = peer.copies[part];
         bool zone_allowed =
             peer.zone == this->current_settings.zone || mirror.failing();
         bool newer = peer_copy.changed > mirror.changed() ||
                      (mirror.failing() && peer_copy.as_of > mirror.as_of());
-        if (!newer || (is_polled(part) && !zone_allowed))
+        if (!newer || (stays_in_zone(part) && !zone_allowed))
             continue;
         if (newest == nullptr || peer_copy.as_of > newest->copies[part].as_of)
             newest = &peer;
@@ -347,14 +385,23 @@
         behind = {};
     else if (behind.count() == 0)
         behind = now;
-    if (newest != nullptr && !this->pulling[part])
+    bool due = now - this->last_pull[part] >= this->pull_interval(now);
+    if (newest != nullptr && !this->pulling[part] &&
+        (due || !stays_in_zone(part)))
         this->pull(part, newest->name, newest->address);
 }
 
+core::milliseconds host_runtime::pull_interval(core::instant now) const
+{
+    return pull_interval_per_host *
+           static_cast<int>(this->peer_hosts.zone_size(now));
+}
+
 void host_runtime::pull(std::size_t part, const std::string& peer_name,
                         const std::string& address)
 {
     this->pulling[part] = true;
+    this->last_pull[part] = boot_now();
     http::client_request request;
     request.target = "/copies/" + std::to_string(part) +
                      "?after=" + std::to_string(this->mirrors[part]->as_of());
@@ -426,9 +473,10 @@
     self.zone = this->current_settings.zone;
     self.region = this->current_settings.region;
     self.disk = this->disk_id;
+    self.capacity = this->capacity();
     self.incarnation = this->own_incarnation;
     auto key = this->registration_key();
-    const auto* entry = this->mirror_of(mirrored_part::system).find(key);
+    const auto* entry = this->mirror_of(mirrored_part::hosts).find(key);
     store::change change;
     // Without the condition, a write that timed out here and takes effect
     // later would bind the key to a lease that no process renews.
@@ -449,12 +497,12 @@
 
 std::string host_runtime::registration_key() const
 {
-    return this->layout.system_prefix + "hosts/" + this->current_settings.name;
+    return this->hosts_prefix() + this->current_settings.name;
 }
 
 bool host_runtime::registration_missing() const
 {
-    const auto& mirror = this->mirror_of(mirrored_part::system);
+    const auto& mirror = this->mirror_of(mirrored_part::hosts);
     if (mirror.failing() || mirror.as_of() == 0)
         return false;
     const auto* entry = mirror.find(this->registration_key());
--- a/source/host/host_runtime.hpp
+++ b/source/host/host_runtime.hpp
@@ -34,7 +34,10 @@
 enum class mirrored_part : std::uint8_t
 {
     configuration,
-    system,
+    /// The registrations of the system's own hosts.
+    hosts,
+    /// Which disks hold which partitions of the jobs.
+    placement,
     endpoints
 };
 
@@ -80,10 +83,8 @@
     core::peers::peer_table& peers() { return this->peer_hosts; }
     core::endpoints::endpoint_table& endpoints() { return this->table; }
     const host_settings& settings() const { return this->current_settings; }
-    const std::string& system_prefix() const
-    {
-        return this->layout.system_prefix;
-    }
+    /// @brief The key of the placement of the jobs' partitions.
+    std::string placement_key() const;
     std::uint64_t incarnation() const { return this->own_incarnation; }
     boost::asio::io_context& event_loop() { return this->loop; }
     http::async_client& http_client() { return this->client; }
@@ -97,7 +98,10 @@
     core::peers::beacon compose_beacon();
     void handle_internal_call(std::shared_ptr<http::server_exchange> exchange);
     void respond_with_copy(http::server_exchange& exchange) const;
-    void on_system_change();
+    void on_hosts_change();
+    std::string hosts_prefix() const;
+    std::uint32_t capacity() const;
+    core::milliseconds pull_interval(core::instant now) const;
     void check_mirrors();
     const core::peers::peer* newest_copy(std::size_t part,
                                          core::instant now) const;
@@ -135,6 +139,7 @@
     boost::asio::steady_timer check_timer;
     boost::asio::steady_timer registration_timer;
     std::vector<bool> pulling;
+    std::vector<core::instant> last_pull;
     /// Time since which a peer has reported a newer copy of each part that this
     /// host hasn't received; zero: none.
     std::vector<core::instant> behind_since;
--- a/source/host/host_settings.hpp
+++ b/source/host/host_settings.hpp
@@ -31,6 +31,9 @@
     /// The folder for job data; empty on hosts without a disk.
     std::string data_folder;
     std::string store_address;
+    /// Processor share of this host, in thousandths of a core; the hosts of a
+    /// zone with the largest share relay for the others.
+    std::uint32_t capacity = 0;
     /// Number of disks that may be lost at once without loss of jobs.
     std::uint32_t lost_disks = 0;
     /// Limit for the size of the job log on the disk; 0: none is set.
--- a/source/host/registration.cpp
+++ b/source/host/registration.cpp
@@ -15,6 +15,7 @@
                 {"zone", self.zone},
                 {"region", self.region},
                 {"disk", self.disk},
+                {"capacity", self.capacity},
                 {"incarnation", self.incarnation}}
         .dump();
 }
@@ -29,6 +30,8 @@
         registered.zone = parsed.at("zone").get<std::string>();
         registered.region = parsed.at("region").get<std::string>();
         registered.disk = parsed.at("disk").get<std::string>();
+        // Hosts of earlier releases register without it.
+        registered.capacity = parsed.value("capacity", 0u);
         registered.incarnation = parsed.at("incarnation").get<std::uint64_t>();
         return registered;
     }
--- a/source/peers/beacon_socket.cpp
+++ b/source/peers/beacon_socket.cpp
@@ -1,6 +1,7 @@
 #include "peers/beacon_socket.hpp"
 
 #include <algorithm>
+#include <map>
 
 #include "errors/failure.hpp"
 #include "host/boot_clock.hpp"
@@ -17,20 +18,46 @@
 namespace
 {
 
+// Zones of more hosts than this use relays: messages from each to each would
+// cost the smallest hosts more than a tenth of their processor.
+constexpr std::size_t direct_zone_size = 16;
 // Shortest interval between beacons to the own zone. An endpoint runs about
 // eight requests of about 700 ms each, so its load changes every 90 ms; a
 // quarter of that keeps the loads recent enough.
 constexpr core::milliseconds min_zone_interval{20};
-// Limits the beacons that a host receives from its zone to 500 per second,
-// which take a few percent of a processor.
+// Limits the beacons that a host or a relay receives from its zone to 500 per
+// second, which take a few percent of a processor.
 constexpr core::milliseconds zone_interval_per_host{2};
+// Interval of the sums that the lead of a large zone sends to its hosts, and
+// its part per host, which limits the lead to 1,000 datagrams a second.
+constexpr core::milliseconds min_view_interval{50};
+constexpr core::milliseconds view_interval_per_host{1};
+// Interval at which a host shows the hosts of a large zone that it lives, per
+// host: each receives about 25 of these a second.
+constexpr core::milliseconds presence_interval_per_host{40};
 // Intervals of zone summaries to zones of the same and of other regions.
 constexpr core::milliseconds region_interval{40};
 constexpr core::milliseconds cross_region_interval{100};
+// Interval of beacons to hosts that share a partition; a lease lasts for eight
+// of them.
+constexpr core::milliseconds partner_interval{100};
+// Interval of beacons to the other hosts with a disk, per such host: each
+// receives at most 50 a second.
+constexpr core::milliseconds disk_interval_per_host{20};
 // A host counts as dead after one second without a beacon; in that time it
 // sends five.
 constexpr core::milliseconds idle_interval{200};
 
+core::peers::beacon without_loads(const core::peers::beacon& beacon,
+                                  core::milliseconds next_within)
+{
+    auto out = beacon;
+    out.scope = core::peers::beacon_scope::presence;
+    out.loads.clear();
+    out.next_within = next_within;
+    return out;
+}
+
 } // namespace
 
 beacon_socket::beacon_socket(boost::asio::io_context& loop,
@@ -86,10 +113,14 @@
     auto now = host::boot_now();
     if (!beacon || !this->peers.receive(*beacon, now))
         return;
-    // The leading host of this zone forwards summaries of other zones within
-    // its zone; hosts that already have one ignore it.
-    if (beacon->zone_summary && this->peers.leads_zone(now))
+    bool leads = this->peers.leads_zone(now);
+    bool large = this->large_zone(now);
+    // The lead of a small zone forwards summaries of other zones within its
+    // zone; hosts that already have one ignore it.
+    if (beacon->scope == core::peers::beacon_scope::zone && leads && !large)
         this->send_to_zone(std::string(bytes));
+    if (leads && large)
+        this->send_soon();
     this->on_beacon(*beacon);
 }
 
@@ -99,13 +130,25 @@
         return;
     this->send_requested = true;
     auto now = host::boot_now();
-    auto hosts = static_cast<int>(this->peers.zone_size(now));
-    auto interval = std::max(min_zone_interval, zone_interval_per_host * hosts);
+    auto interval = this->send_interval(now);
     auto elapsed = now - this->last_sent;
     this->schedule(elapsed >= interval ? core::milliseconds(0)
                                        : interval - elapsed);
 }
 
+bool beacon_socket::large_zone(core::instant now) const
+{
+    return this->peers.zone_size(now) > direct_zone_size;
+}
+
+core::milliseconds beacon_socket::send_interval(core::instant now) const
+{
+    auto hosts = static_cast<int>(this->peers.zone_size(now));
+    if (this->large_zone(now) && this->peers.leads_zone(now))
+        return std::max(min_view_interval, view_interval_per_host * hosts);
+    return std::max(min_zone_interval, zone_interval_per_host * hosts);
+}
+
 void beacon_socket::schedule(core::milliseconds after)
 {
     this->timer.expires_after(after);
@@ -123,26 +166,107 @@
     this->send_requested = false;
     this->last_sent = now;
     this->peers.expire_loads(now);
+    this->peers.check_relays(now);
     auto beacon = this->compose();
-    this->send_to_zone(pack(beacon));
-    // Hosts with a disk grant each other leases by beacons, also across zones.
-    // The loads are left out, as zone summaries contain them.
-    if (this->identity.has_disk &&
-        now - this->last_disk_sent >= cross_region_interval)
-    {
-        this->last_disk_sent = now;
-        auto without_loads = beacon;
-        without_loads.loads.clear();
-        auto bytes = pack(without_loads);
-        for (const auto& [name, peer] : this->peers.all())
-            if (!peer.disk.empty() && peer.zone != this->identity.zone)
-                this->send_to(peer, bytes);
-    }
-    if (this->peers.leads_zone(now))
+    beacon.next_within = idle_interval;
+    bool leads = this->peers.leads_zone(now);
+    if (!this->large_zone(now))
+        this->send_to_zone(pack(beacon));
+    else if (leads)
+        this->send_fleet_view(beacon);
+    else
+        this->send_by_relays(beacon, now);
+    if (this->identity.has_disk)
+        this->send_to_disks(beacon, now);
+    if (leads)
         this->send_summary(std::move(beacon), now);
     this->schedule(idle_interval);
 }
 
+void beacon_socket::send_by_relays(const core::peers::beacon& beacon,
+                                   core::instant now)
+{
+    this->peers.set_reported(beacon.loads);
+    auto bytes = pack(beacon);
+    for (const auto* relay : this->peers.relays(now))
+        this->send_to(*relay, bytes);
+    this->send_presence(beacon, now);
+}
+
+// The second relay shows itself as often as the lead, so that both are known to
+// live when one of them has to be replaced.
+void beacon_socket::send_presence(const core::peers::beacon& beacon,
+                                  core::instant now)
+{
+    auto hosts = static_cast<int>(this->peers.zone_size(now));
+    auto interval = this->peers.is_relay(now)
+                        ? idle_interval
+                        : presence_interval_per_host * hosts;
+    if (now - this->last_presence < interval)
+        return;
+    this->last_presence = now;
+    auto bytes = pack(without_loads(beacon, interval));
+    auto relays = this->peers.relays(now);
+    for (const auto& [name, peer] : this->peers.all())
+        if (peer.zone == this->identity.zone &&
+            std::find(relays.begin(), relays.end(), &peer) == relays.end())
+            this->send_to(peer, bytes);
+}
+
+// Hosts that share a partition grant each other leases by beacons. The loads
+// are left out, as summaries contain them; so are the echoes where the receiver
+// shares no partition.
+void beacon_socket::send_to_disks(const core::peers::beacon& beacon,
+                                  core::instant now)
+{
+    auto others = std::count_if(this->peers.all().begin(),
+                                this->peers.all().end(), [](const auto& named)
+                                { return !named.second.disk.empty(); });
+    auto disks_interval =
+        std::max(partner_interval,
+                 disk_interval_per_host * static_cast<int>(others));
+    bool to_partners = now - this->last_partners_sent >= partner_interval;
+    bool to_all = now - this->last_disks_sent >= disks_interval;
+    if (!to_partners && !to_all)
+        return;
+    this->last_partners_sent = to_partners ? now : this->last_partners_sent;
+    this->last_disks_sent = to_all ? now : this->last_disks_sent;
+    auto partner_bytes = pack(without_loads(beacon, idle_interval));
+    auto other = without_loads(beacon, disks_interval + idle_interval);
+    other.echoes.clear();
+    auto other_bytes = pack(other);
+    bool large = this->large_zone(now);
+    for (const auto& [name, peer] : this->peers.all())
+    {
+        bool told_in_zone = peer.zone == this->identity.zone && !large;
+        if (peer.disk.empty() || told_in_zone)
+            continue;
+        if (this->peers.is_partner(peer) ? to_partners : to_all)
+            this->send_to(peer, this->peers.is_partner(peer) ? partner_bytes
+                                                             : other_bytes);
+    }
+}
+
+void beacon_socket::send_fleet_view(core::peers::beacon beacon)
+{
+    beacon.scope = core::peers::beacon_scope::fleet;
+    beacon.echoes.clear();
+    std::map<std::uint64_t, core::peers::endpoint_load> sums;
+    for (const auto& load : beacon.loads)
+        sums[load.endpoint] = load;
+    for (const auto& load : this->peers.fleet_loads())
+    {
+        auto& sum = sums[load.endpoint];
+        sum.endpoint = load.endpoint;
+        sum.online += load.online;
+        sum.batch += load.batch;
+    }
+    beacon.loads.clear();
+    for (const auto& [endpoint, load] : sums)
+        beacon.loads.push_back(load);
+    this->send_to_zone(pack(beacon));
+}
+
 void beacon_socket::send_summary(core::peers::beacon summary, core::instant now)
 {
     bool send_in_region = now - this->last_region_summary >= region_interval;
@@ -154,7 +278,7 @@
         this->last_region_summary = now;
     if (send_across_regions)
         this->last_cross_region_summary = now;
-    summary.zone_summary = true;
+    summary.scope = core::peers::beacon_scope::zone;
     summary.echoes.clear();
     summary.backlogs.clear();
     auto zone_loads = this->peers.zone_loads();
--- a/source/peers/beacon_socket.hpp
+++ b/source/peers/beacon_socket.hpp
@@ -24,12 +24,12 @@
 
 /// @brief Sends this host's beacons over UDP and receives those of other hosts.
 ///
-/// A beacon is sent to the hosts of the own zone soon after a change of load,
-/// and at an interval otherwise. The leading host of each zone sends a summary
-/// of its zone to the leading hosts of the other zones, which forward it within
-/// their zones. Summaries are sent less often than beacons, because traffic
-/// between zones is billed by volume and endpoints of other zones are used only
-/// after those of the own zone.
+/// A beacon is sent soon after a change of load, and at an interval otherwise:
+/// in a small zone to all its hosts, in a large one to its two relays. The lead
+/// of a large zone sends the sums of all loads to its hosts. The leads exchange
+/// the sums of their zones, less often than beacons, because traffic between
+/// zones is billed by volume and endpoints of other zones are used only after
+/// those of the own zone; in a small zone the lead forwards them.
 class beacon_socket
 {
 public:
@@ -52,8 +52,14 @@
     void handle_datagram(std::string_view bytes);
     void schedule(core::milliseconds after);
     void send();
+    void send_by_relays(const core::peers::beacon& beacon, core::instant now);
+    void send_presence(const core::peers::beacon& beacon, core::instant now);
+    void send_to_disks(const core::peers::beacon& beacon, core::instant now);
+    void send_fleet_view(core::peers::beacon beacon);
     void send_summary(core::peers::beacon summary, core::instant now);
     void send_to_zone(const std::string& bytes);
+    bool large_zone(core::instant now) const;
+    core::milliseconds send_interval(core::instant now) const;
     void send_to(const core::peers::peer& peer, const std::string& bytes);
 
     boost::asio::ip::udp::socket socket;
@@ -65,7 +71,9 @@
     std::array<char, 65536> buffer{};
     boost::asio::ip::udp::endpoint sender;
     core::instant last_sent{};
-    core::instant last_disk_sent{};
+    core::instant last_partners_sent{};
+    core::instant last_disks_sent{};
+    core::instant last_presence{};
     core::instant last_region_summary{};
     core::instant last_cross_region_summary{};
     bool send_requested = false;
--- a/source/peers/packing.cpp
+++ b/source/peers/packing.cpp
@@ -1,5 +1,7 @@
 #include "peers/packing.hpp"
 
+#include <algorithm>
+
 #include "packing/bytes.hpp"
 
 namespace amaranthhatch::peers
@@ -13,7 +15,9 @@
 
 // Must change with the fields of packed_beacon, so that hosts of different
 // releases ignore each other's beacons instead of misreading them.
-constexpr std::uint32_t beacon_format = 3;
+constexpr std::uint32_t beacon_format = 4;
+// Bounds how long an unreadable or hostile beacon makes its sender look alive.
+constexpr core::milliseconds longest_interval{5000};
 
 struct packed_echo
 {
@@ -48,16 +52,18 @@
     std::string zone;
     std::string region;
     std::string disk;
+    std::uint32_t capacity = 0;
+    std::int64_t next_within_ms = 0;
     bool leaving = false;
     bool store_unreachable = false;
-    bool zone_summary = false;
+    std::uint8_t scope = 0;
     std::vector<packed_echo> echoes;
     std::vector<packed_load> loads;
     std::vector<packed_pair> copies;
     std::vector<packed_pair> backlogs;
     MSGPACK_DEFINE(version, name, incarnation, sent_ms, address, zone, region,
-                   disk, leaving, store_unreachable, zone_summary, echoes,
-                   loads, copies, backlogs)
+                   disk, capacity, next_within_ms, leaving, store_unreachable,
+                   scope, echoes, loads, copies, backlogs)
 };
 
 struct packed_entry
@@ -89,9 +95,11 @@
     packed.zone = beacon.zone;
     packed.region = beacon.region;
     packed.disk = beacon.disk;
+    packed.capacity = beacon.capacity;
+    packed.next_within_ms = beacon.next_within.count();
     packed.leaving = beacon.leaving;
     packed.store_unreachable = beacon.store_unreachable;
-    packed.zone_summary = beacon.zone_summary;
+    packed.scope = static_cast<std::uint8_t>(beacon.scope);
     for (const auto& echo : beacon.echoes)
         packed.echoes.push_back({echo.peer, echo.incarnation, echo.sent_ms});
     for (const auto& load : beacon.loads)
@@ -106,7 +114,10 @@
 std::optional<core::peers::beacon> unpack_beacon(std::string_view bytes)
 {
     auto packed = from_bytes<packed_beacon>(bytes, "beacon");
-    if (!packed || packed->version != beacon_format)
+    constexpr auto last_scope =
+        static_cast<std::uint8_t>(core::peers::beacon_scope::fleet);
+    if (!packed || packed->version != beacon_format ||
+        packed->scope > last_scope)
         return std::nullopt;
     core::peers::beacon beacon;
     beacon.name = packed->name;
@@ -116,9 +127,13 @@
     beacon.zone = packed->zone;
     beacon.region = packed->region;
     beacon.disk = packed->disk;
+    beacon.capacity = packed->capacity;
+    beacon.next_within =
+        std::clamp(core::milliseconds(packed->next_within_ms),
+                   core::milliseconds(0), longest_interval);
     beacon.leaving = packed->leaving;
     beacon.store_unreachable = packed->store_unreachable;
-    beacon.zone_summary = packed->zone_summary;
+    beacon.scope = static_cast<core::peers::beacon_scope>(packed->scope);
     for (const auto& echo : packed->echoes)
         beacon.echoes.push_back({echo.peer, echo.incarnation, echo.sent_ms});
     for (const auto& load : packed->loads)
--- a/source/store/mirror.cpp
+++ b/source/store/mirror.cpp
@@ -116,6 +116,8 @@
     this->as_of_revision = std::max(this->as_of_revision, changes.revision);
     if (changed)
         this->report_change();
+    if (changed && this->options.watch_pause.count() > 0)
+        return this->schedule(this->options.watch_pause);
     this->watch();
 }
 
--- a/tests/core/endpoints_test.cpp
+++ b/tests/core/endpoints_test.cpp
@@ -1,7 +1,6 @@
 #include <catch2/catch.hpp>
 
 #include "core/endpoints/endpoint_table.hpp"
-#include "core/hash.hpp"
 
 using namespace amaranthhatch;
 using namespace std::chrono_literals;
@@ -38,7 +37,8 @@
 
     std::string choose_batch_id(std::uint32_t reserve = 0)
     {
-        auto found = this->table.choose_batch("pool", reserve, this->now, 0.3);
+        auto found =
+            this->table.choose_batch("pool", {reserve, 1}, this->now, 0.3);
         return found.chosen == nullptr ? "none" : found.chosen->id;
     }
 
@@ -60,7 +60,7 @@
         sent_beacon.incarnation = 7;
         sent_beacon.zone = "near";
         sent_beacon.sent_ms = ++this->sent;
-        sent_beacon.loads = {{core::hash(id), online, batch}};
+        sent_beacon.loads = {{core::endpoints::load_key(id), online, batch}};
         this->peers.receive(sent_beacon, this->now);
     }
 
@@ -206,3 +206,18 @@
     this->table.end(this->runs[0], run_outcome::answered, this->now);
     CHECK(this->table.find("near-1") == nullptr);
 }
+
+// Items that end late anyway must not fill the slots of the fleet.
+TEST_CASE_METHOD(three_endpoints,
+                 "batch choice, share of the slots, is not exceeded")
+{
+    this->table.replace({make("near-1", "near", 8)});
+    this->fill("near-1", load_kind::online, 4);
+    CHECK(this->table.choose_batch("pool", {1, 0.5}, this->now, 0.3).chosen ==
+          nullptr);
+    CHECK(this->table.choose_batch("pool", {1, 1}, this->now, 0.3).chosen !=
+          nullptr);
+    // A service whose endpoints have one slot each runs batch work, too.
+    this->table.replace({make("next-1", "next", 1)});
+    CHECK(this->choose_batch_id(1) == "next-1");
+}
--- a/tests/core/peers_test.cpp
+++ b/tests/core/peers_test.cpp
@@ -127,7 +127,7 @@
     CHECK(this->peers.load(42).online == 0);
     auto summary = this->from("a", 1);
     summary.zone = "z2";
-    summary.zone_summary = true;
+    summary.scope = core::peers::beacon_scope::zone;
     summary.loads = {{42, 3, 1}};
     CHECK(this->peers.receive(summary, this->now));
     CHECK_FALSE(this->peers.receive(this->from("a", 0), this->now));
@@ -176,9 +176,103 @@
     CHECK(this->peers.other_zone_leads(this->now).size() == 2);
     auto summary = this->from("d", 1);
     summary.zone = "z2";
-    summary.zone_summary = true;
+    summary.scope = core::peers::beacon_scope::zone;
     this->peers.receive(summary, this->now);
     auto leads = this->peers.other_zone_leads(this->now);
     REQUIRE(leads.size() == 1);
     CHECK(leads[0]->name == "d");
 }
+
+TEST_CASE_METHOD(peer_table_fixture,
+                 "zone lead, hosts of unlike capacity, is the largest")
+{
+    auto large = this->from("x", 1);
+    large.capacity = 500;
+    this->peers.receive(this->from("a", 1), this->now);
+    this->peers.receive(large, this->now);
+    auto relays = this->peers.relays(this->now);
+    REQUIRE(relays.size() == 2);
+    CHECK(relays[0]->name == "x");
+    CHECK(relays[1]->name == "a");
+    CHECK_FALSE(this->peers.is_relay(this->now));
+}
+
+// Both relays die at once. As other hosts show themselves seldom, a host that
+// was only heard of long ago must not hold up the next lead.
+TEST_CASE_METHOD(peer_table_fixture,
+                 "relays, silent, are passed over until they are heard again")
+{
+    for (const char* name : {"a", "b", "c", "t"})
+    {
+        auto shown = this->from(name, 1);
+        shown.next_within = 2000ms;
+        this->peers.receive(shown, this->now);
+    }
+    CHECK(this->peers.alive(*this->peers.find("a"), this->now + 5000ms));
+    instant at = this->now;
+    auto silent_until = [&](instant end)
+    {
+        for (; at < end; at += 200ms)
+            this->peers.check_relays(at);
+    };
+    silent_until(this->now + 1400ms);
+    auto relays = this->peers.relays(at);
+    // This host ranks behind "c" and is the second relay.
+    REQUIRE(relays.size() == 1);
+    CHECK(relays[0]->name == "c");
+    CHECK_FALSE(this->peers.leads_zone(at));
+    silent_until(this->now + 2800ms);
+    CHECK(this->peers.leads_zone(at));
+    this->peers.receive(this->from("a", 2), at);
+    CHECK_FALSE(this->peers.leads_zone(at));
+}
+
+TEST_CASE_METHOD(peer_table_fixture,
+                 "fleet loads, sent by the lead, contain this host's once")
+{
+    this->peers.receive(this->from("a", 1), this->now);
+    this->peers.set_reported({{42, 2, 1}});
+    auto sums = this->from("a", 2);
+    sums.scope = core::peers::beacon_scope::fleet;
+    sums.loads = {{42, 5, 4}, {43, 1, 0}};
+    CHECK(this->peers.receive(sums, this->now));
+    CHECK(this->peers.load(42).online == 3);
+    CHECK(this->peers.load(42).batch == 3);
+    CHECK(this->peers.load(43).online == 1);
+    // A host of the zone that shows itself doesn't count once more.
+    auto other = this->from("b", 1);
+    other.loads = {{42, 9, 9}};
+    this->peers.receive(other, this->now);
+    CHECK(this->peers.load(42).online == 3);
+    // Without the lead, this host's own sums count.
+    this->peers.expire_loads(this->now + 900ms);
+    CHECK(this->peers.load(42).online == 3);
+    other.sent_ms = 2;
+    this->peers.receive(other, this->now + 1000ms);
+    this->peers.expire_loads(this->now + 1050ms);
+    CHECK_FALSE(this->peers.follows_lead());
+    CHECK(this->peers.load(42).online == 9);
+}
+
+TEST_CASE_METHOD(peer_table_fixture,
+                 "presence, of a host that reports loads, keeps them")
+{
+    auto report = this->from("b", 1);
+    report.loads = {{42, 3, 1}};
+    this->peers.receive(report, this->now);
+    auto shown = this->from("b", 2);
+    shown.scope = core::peers::beacon_scope::presence;
+    this->peers.receive(shown, this->now);
+    CHECK(this->peers.load(42).online == 3);
+}
+
+TEST_CASE_METHOD(peer_table_fixture,
+                 "echoes, in a large fleet, name hosts of shared partitions")
+{
+    for (int host = 0; host < 40; host++)
+        this->peers.receive(this->from("h" + std::to_string(host), 1),
+                            this->now);
+    CHECK(this->peers.disk_echoes(this->now).empty());
+    this->peers.set_partner_disks({"disk-h3", "disk-h4"});
+    CHECK(this->peers.disk_echoes(this->now).size() == 2);
+}
