http: Bound every part of a response that may come without end

Cause: chunk sizes, chunk extensions, trailers, chunks and bodies that end with the connection were read for as long as the peer sent them, and kept in memory; an interim answer (100) was taken for the answer itself.

Ruled out: endless status lines and headers (the parser's own bound, 8 KB, now 64 KB as answers may carry long headers).

Change: 64 KB for what the parser can't use yet, a body limit per request (64 MB where the caller sets none), 16 skipped responses a call; interim answers are skipped. A listener that cancels its call from a callback is kept until it returns.

--- a/source/http/async_client.cpp
+++ b/source/http/async_client.cpp
@@ -36,6 +36,11 @@
 // connections open: the usual default of HTTP servers.
 constexpr std::chrono::milliseconds default_keep_alive{5000};
 constexpr std::size_t idle_connection_limit = 32;
+// Bounds of a response's head, and of what else can come without being part of
+// a body: chunk headers, trailers and responses that are skipped.
+constexpr std::size_t head_limit_bytes = 64u << 10;
+constexpr std::size_t skipped_response_limit = 16;
+constexpr int first_final_status = 200;
 
 } // namespace
 
@@ -82,6 +87,7 @@
     void read_some();
     void consume();
     bool parse_once();
+    bool over_limits();
     void deliver_body();
     void on_read_error(error_code error);
     void end(call_end result, std::string_view detail);
@@ -102,6 +108,9 @@
     std::string method;
     steady::time_point usable_until = steady::time_point::max();
     std::uint64_t call_number = 0;
+    std::size_t body_limit = 0;
+    std::size_t body_bytes = 0;
+    std::size_t skipped = 0;
     bool connecting = false;
     bool head_delivered = false;
     bool skipping = false;
@@ -153,6 +162,9 @@
         request_text(outgoing.method, outgoing.target, outgoing.headers,
                      outgoing.body ? outgoing.body->size() : 0);
     this->call_number++;
+    this->body_limit = outgoing.body_limit;
+    this->body_bytes = 0;
+    this->skipped = 0;
     this->written = false;
     this->new_parser();
 }
@@ -161,6 +173,7 @@
 {
     this->reading = std::make_unique<parser>();
     this->reading->eager(true);
+    this->reading->header_limit(head_limit_bytes);
     this->reading->body_limit(boost::none);
     if (this->method == "HEAD")
         this->reading->skip(true);
@@ -267,6 +280,8 @@
     this->deliver_body();
     if (this->closed || !this->listener)
         return;
+    if (this->over_limits())
+        return this->end(call_end::broken, "response over its limits");
     if (!this->reading->is_done())
         return this->read_some();
     if (!this->skipping)
@@ -277,6 +292,15 @@
     this->read_some();
 }
 
+// Bytes that the parser can't use yet belong to a line, a chunk header or
+// trailers without an end.
+bool async_client::connection::over_limits()
+{
+    return this->buffer.size() > head_limit_bytes ||
+           this->body_bytes > this->body_limit ||
+           this->skipped > skipped_response_limit;
+}
+
 bool async_client::connection::parse_once()
 {
     error_code error;
@@ -286,8 +310,12 @@
     {
         this->head_delivered = true;
         int status = static_cast<int>(this->reading->get().result_int());
+        // The listener may cancel the call, which drops this reference to it.
+        auto receiver = this->listener;
         this->skipping =
-            !this->listener->on_head(status, this->parsed_headers());
+            status < first_final_status ||
+            !receiver->on_head(status, this->parsed_headers());
+        this->skipped += this->skipping ? 1 : 0;
         if (this->skipping)
             this->owner->counts.skipped_responses++;
         if (this->closed || !this->listener)
@@ -314,8 +342,11 @@
         return;
     std::string piece;
     piece.swap(text);
-    if (!this->skipping)
-        this->listener->on_body(piece);
+    this->body_bytes += piece.size();
+    if (this->skipping || this->body_bytes > this->body_limit)
+        return;
+    auto receiver = this->listener;
+    receiver->on_body(piece);
 }
 
 header_list async_client::connection::parsed_headers() const
--- a/source/http/async_client.hpp
+++ b/source/http/async_client.hpp
@@ -15,6 +15,10 @@
 namespace amaranthhatch::http
 {
 
+/// Longest body of a response where the caller sets no bound: a copy of the
+/// store's entries or a whole job, several times.
+inline constexpr std::size_t default_body_limit = 64u << 20;
+
 /// @brief A request to send; retries share the body instead of copying it.
 struct client_request
 {
@@ -24,6 +28,8 @@
     std::shared_ptr<const std::string> body;
     /// A connect that takes longer ends the call with not_sent.
     std::chrono::milliseconds connect_limit{300};
+    /// A response with a longer body ends the call with broken.
+    std::size_t body_limit = default_body_limit;
 };
 
 /// @brief How a call ended.
--- a/tests/core/client_faults_test.cpp
+++ b/tests/core/client_faults_test.cpp
@@ -1,9 +1,14 @@
 #include <catch2/catch.hpp>
 
+#include <atomic>
+#include <string>
 #include <thread>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
 
 #include "http/async_client.hpp"
 
@@ -79,6 +84,80 @@
     std::shared_ptr<http::client_call> call;
 };
 
+/// @brief A peer that reads a request, sends a beginning and then one piece
+/// again and again, until its caller closes the connection.
+class endless_peer
+{
+public:
+    endless_peer(std::string beginning, std::string piece)
+        : acceptor(loop, tcp::endpoint(
+                             boost::asio::ip::make_address_v4("127.0.0.1"), 0)),
+          thread([this, beginning, piece] { this->run(beginning, piece); })
+    {
+    }
+    ~endless_peer()
+    {
+        this->stopped = true;
+        this->thread.join();
+    }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" +
+               std::to_string(this->acceptor.local_endpoint().port());
+    }
+
+    std::atomic<std::size_t> sent_bytes{0};
+
+private:
+    void run(const std::string& beginning, const std::string& piece)
+    {
+        tcp::socket socket(this->loop);
+        this->acceptor.accept(socket);
+        boost::system::error_code error;
+        boost::asio::streambuf head;
+        boost::asio::read_until(socket, head, "\r\n\r\n", error);
+        boost::asio::write(socket, boost::asio::buffer(beginning), error);
+        std::string block;
+        while (block.size() < (16u << 10))
+            block += piece;
+        while (!error && !this->stopped)
+            this->sent_bytes +=
+                boost::asio::write(socket, boost::asio::buffer(block), error);
+    }
+
+    boost::asio::io_context loop;
+    tcp::acceptor acceptor;
+    std::atomic<bool> stopped{false};
+    std::thread thread;
+};
+
+struct endless_row
+{
+    const char* name;
+    const char* beginning;
+    const char* piece;
+};
+
+// What comes without end, and what came before it.
+const endless_row endless_rows[] = {
+    {"bytes that are no status line", "", "x"},
+    {"a reason phrase", "HTTP/1.1 200 ", "y"},
+    {"one header's value", "HTTP/1.1 200 OK\r\nX-A: ", "z"},
+    {"headers", "HTTP/1.1 200 OK\r\n", "X-A: 1\r\n"},
+    {"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+    {"a chunk's extension",
+     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;a=", "b"},
+    {"a chunk's size",
+     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+    {"trailers",
+     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+     "X-A: 1\r\n"},
+    {"a body that ends with the connection", "HTTP/1.1 200 OK\r\n\r\n", "c"},
+    {"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+     "4\r\nabcd\r\n"},
+};
+
 } // namespace
 
 // A process that is stopped while it connects finds, once it goes on, both the
@@ -97,3 +176,36 @@
     INFO("written " << written << ", detail " << this->listener->detail);
     CHECK((!told_not_sent || written == 0));
 }
+
+// A faulty worker or store may send bytes without end until its caller closes.
+// Neither the caller's memory nor its time may depend on the peer's mercy.
+TEST_CASE("client, bytes without end, ends the call at its bounds")
+{
+    for (const auto& row : endless_rows)
+    {
+        DYNAMIC_SECTION(row.name)
+        {
+            boost::asio::io_context loop;
+            http::async_client client(loop);
+            endless_peer peer(row.beginning, row.piece);
+            auto listener = std::make_shared<ending_listener>();
+            http::client_request outgoing;
+            outgoing.target = "/x";
+            outgoing.body_limit = 1u << 20;
+            auto call =
+                client.start("key", peer.address(), outgoing, listener);
+            auto end = std::chrono::steady_clock::now() + 3s;
+            while (!listener->ended && std::chrono::steady_clock::now() < end)
+            {
+                loop.restart();
+                loop.run_for(5ms);
+            }
+            CHECK(listener->ended);
+            CHECK(listener->result == http::call_end::broken);
+            CHECK(listener->body_bytes <= outgoing.body_limit);
+            // What the peer could write fits into the bound and the sockets.
+            CHECK(peer.sent_bytes < (16u << 20));
+            call->cancel();
+        }
+    }
+}
