peers: Tell each host which of its loads the lead's sums contain

Change: the lead's datagram names the report of the receiver that its sums contain, which the receiver takes off. Items that were refused wait some 200 ms; batch slots are drawn, too, where the view comes from the lead.

--- a/source/batches/item_run.hpp
+++ b/source/batches/item_run.hpp
@@ -56,6 +56,8 @@
         return now - this->started;
     }
     run_state result() const { return this->state; }
+    /// @brief True if the endpoint responded that it didn't run the item.
+    bool refused() const { return this->not_run; }
 
 private:
     void abandon_call(std::string_view reason);
--- a/source/batches/item_scheduler.cpp
+++ b/source/batches/item_scheduler.cpp
@@ -19,6 +19,8 @@
 // Delay before a failed item is run again: about the time in which an endpoint
 // recovers from a short disturbance.
 constexpr core::milliseconds retry_delay{300};
+// Mean delay before an item is run again that an endpoint has refused.
+constexpr core::milliseconds refused_delay{200};
 // Slots that batch items leave free on each endpoint. Load is published by
 // beacon, so an online request that arrives before the next beacon still finds
 // a free slot.
@@ -339,6 +341,12 @@
         break;
     }
     case item_run::run_state::retry:
+        // The loads don't show yet that the endpoint is full.
+        if (run->refused())
+            state.retry_at = host::boot_now() +
+                             std::chrono::duration_cast<core::milliseconds>(
+                                 refused_delay * (0.5 + host::uniform()));
+        break;
     case item_run::run_state::running:
         break;
     }
--- a/source/core/endpoints/endpoint_table.cpp
+++ b/source/core/endpoints/endpoint_table.cpp
@@ -231,32 +231,36 @@
                                     batch_allowance allowance, instant now,
                                     double uniform) const
 {
-    choice best;
-    double best_cost = 0;
+    auto from = this->candidates(service, {}, now);
+    auto usable = [&](const candidate& each)
+    {
+        double slots = each.record->info.slots;
+        return std::max(1.0, std::min(slots - allowance.reserve,
+                                      slots * allowance.share));
+    };
+    std::erase_if(from, [&](const candidate& each)
+                  { return each.total >= usable(each); });
+    const candidate* chosen = nullptr;
+    if (this->peer_hosts.follows_lead())
+        chosen = draw(from, &candidate::total, uniform);
     std::uint64_t salt = static_cast<std::uint64_t>(uniform * 4294967296.0);
-    for (const auto& [id, record] : this->records)
+    double best_cost = 0;
+    bool drawn = chosen != nullptr;
+    for (const auto& each : from)
     {
-        if (!this->is_available(record, service, now))
-            continue;
-        auto peer_load = this->peer_hosts.load(record.id_hash);
-        double total =
-            record.online + peer_load.online + record.batch + peer_load.batch;
-        double slots = record.info.slots;
-        double usable =
-            std::max(1.0, std::min(slots - allowance.reserve,
-                                   slots * allowance.share));
-        if (total >= usable)
-            continue;
+        if (drawn)
+            break;
         // Prefers endpoints with low load, since busy ones are the first to
         // preempt batch work.
-        double cost = total / slots + 0.2 * this->distance(record) +
-                      1e-3 * ((record.id_hash ^ salt) % 101);
-        if (best.chosen != nullptr && cost >= best_cost)
+        double cost = each.total / each.record->info.slots +
+                      0.2 * each.distance +
+                      1e-3 * ((each.record->id_hash ^ salt) % 101);
+        if (chosen != nullptr && cost >= best_cost)
             continue;
         best_cost = cost;
-        best.chosen = &record.info;
+        chosen = &each;
     }
-    return best;
+    return {chosen == nullptr ? nullptr : &chosen->record->info, {}, false};
 }
 
 run_key endpoint_table::begin(std::string_view endpoint, load_kind kind,
--- a/source/core/peers/beacon.hpp
+++ b/source/core/peers/beacon.hpp
@@ -90,6 +90,9 @@
     /// True while the sender gets no response from the store.
     bool store_unreachable = false;
     beacon_scope scope = beacon_scope::host;
+    /// In sums over all zones: the receiver's own clock when it sent the loads
+    /// of its own that the sums contain; 0 where they contain none.
+    std::int64_t included_ms = 0;
     std::vector<echo> echoes;
     std::vector<endpoint_load> loads;
     std::vector<copy_revision> copies;
--- a/source/core/peers/peer_table.cpp
+++ b/source/core/peers/peer_table.cpp
@@ -11,6 +11,9 @@
 {
 
 constexpr std::size_t relay_count = 2;
+// Reports of some seconds; a lead's sums are older only when they no longer
+// count.
+constexpr std::size_t remembered_reports = 64;
 // Missed beacons after which a host that names its interval isn't alive, and
 // the delay that is allowed besides.
 constexpr int missed_beacons = 3;
@@ -87,6 +90,7 @@
     {
         this->add_loads(entry.loads, -1);
         entry.loads = message.loads;
+        entry.loads_sent_ms = message.sent_ms;
         this->add_loads(entry.loads, 1);
     }
     for (const auto& received : message.echoes)
@@ -141,6 +145,19 @@
     this->view.loads.clear();
     for (const auto& load : message.loads)
         this->view.loads[load.endpoint] = load;
+    while (!this->reports.empty() &&
+           this->reports.front().sent_ms < message.included_ms)
+        this->reports.pop_front();
+    // The sums contain this host's loads as of that report, not as of now.
+    bool included = !this->reports.empty() &&
+                    this->reports.front().sent_ms == message.included_ms;
+    if (included)
+        for (const auto& own : this->reports.front().loads)
+        {
+            auto& sum = this->view.loads[own.endpoint];
+            sum.online -= std::min(sum.online, own.online);
+            sum.batch -= std::min(sum.batch, own.batch);
+        }
     this->following = true;
     return true;
 }
@@ -283,11 +300,12 @@
     return out;
 }
 
-void peer_table::set_reported(std::vector<endpoint_load> loads)
+void peer_table::add_report(std::int64_t sent_ms,
+                            std::vector<endpoint_load> loads)
 {
-    this->reported.clear();
-    for (const auto& load : loads)
-        this->reported[load.endpoint] = load;
+    this->reports.push_back({sent_ms, std::move(loads)});
+    if (this->reports.size() > remembered_reports)
+        this->reports.pop_front();
 }
 
 void peer_table::set_partner_disks(std::set<std::string, std::less<>> disks)
@@ -433,15 +451,8 @@
 {
     const auto& loads = this->following ? this->view.loads : this->sums;
     auto found = loads.find(endpoint);
-    if (found == loads.end())
-        return {endpoint, 0, 0};
-    auto total = found->second;
-    auto own = this->reported.find(endpoint);
-    if (!this->following || own == this->reported.end())
-        return total;
-    total.online -= std::min(total.online, own->second.online);
-    total.batch -= std::min(total.batch, own->second.batch);
-    return total;
+    return found == loads.end() ? endpoint_load{endpoint, 0, 0}
+                                : found->second;
 }
 
 std::uint64_t peer_table::backlog_tokens(std::uint64_t route, instant now) const
--- a/source/core/peers/peer_table.hpp
+++ b/source/core/peers/peer_table.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -41,6 +42,8 @@
     bool leaving = false;
     bool store_unreachable = false;
     std::vector<endpoint_load> loads;
+    /// Its clock's value in the beacon that brought the loads.
+    std::int64_t loads_sent_ms = 0;
     std::vector<copy_revision> copies;
     std::vector<backlog> backlogs;
 };
@@ -132,9 +135,9 @@
     /// from beacons of its zone and summaries of the others.
     std::vector<endpoint_load> fleet_loads() const;
 
-    /// @brief Records the own loads that the relays have been told. They are
-    /// contained in the sums that the lead sends back.
-    void set_reported(std::vector<endpoint_load> loads);
+    /// @brief Records own loads that the relays are told at a time. The lead's
+    /// sums name that time and contain them until it has a later report.
+    void add_report(std::int64_t sent_ms, std::vector<endpoint_load> loads);
 
     /// @brief Sum of the requests that other hosts run at an endpoint: by the
     /// lead's last message where it is current, else as this host sums them.
@@ -160,7 +163,14 @@
         std::vector<endpoint_load> loads;
     };
 
-    /// @brief The loads of the whole fleet as a zone's lead last sent them.
+    /// @brief Own loads as the relays were told them.
+    struct report
+    {
+        std::int64_t sent_ms = 0;
+        std::vector<endpoint_load> loads;
+    };
+
+    /// @brief The loads of the other hosts as a zone's lead last sent them.
     struct fleet_view
     {
         std::string lead;
@@ -188,8 +198,9 @@
     std::set<std::string, std::less<>> partner_disks;
     fleet_view view;
     bool following = false;
-    /// Own loads in the last beacon to the relays.
-    std::map<std::uint64_t, endpoint_load> reported;
+    /// Own reports to the relays, oldest first, as far as a lead's sums may
+    /// still contain them.
+    std::deque<report> reports;
     std::map<std::string, zone_summary, std::less<>> summaries;
     /// Loads by endpoint, summed over peers and zones; maintained on each
     /// change, so that choosing an endpoint needs no loop over hosts.
--- a/source/http/async_client.cpp
+++ b/source/http/async_client.cpp
@@ -1,9 +1,12 @@
 #include "http/async_client.hpp"
 
 #include <array>
+#include <cerrno>
 #include <charconv>
 #include <functional>
 
+#include <sys/socket.h>
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -68,10 +71,7 @@
     void send(const client_request& outgoing,
               std::shared_ptr<call_listener> listener);
     void close();
-    bool usable() const
-    {
-        return !this->closed && steady::now() < this->usable_until;
-    }
+    bool usable();
     std::uint64_t current_call_number() const { return this->call_number; }
     bool runs_call(std::uint64_t number) const
     {
@@ -152,6 +152,21 @@
 
 } // namespace
 
+// Bytes that arrived on an idle connection, such as a second copy of its last
+// response, belong to no request, and a close shows as readable, too. Both may
+// not have reached this loop yet, so the socket itself is asked.
+bool async_client::connection::usable()
+{
+    if (this->closed || steady::now() >= this->usable_until)
+        return false;
+    char byte = 0;
+    auto count = recv(this->socket.native_handle(), &byte, 1,
+                      MSG_PEEK | MSG_DONTWAIT);
+    if (count > 0)
+        this->owner->counts.surplus_bytes++;
+    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 void async_client::connection::prepare(
     const client_request& outgoing, std::shared_ptr<call_listener> new_listener)
 {
--- a/source/http/async_server.cpp
+++ b/source/http/async_server.cpp
@@ -464,6 +464,11 @@
         open_session->close_if_idle();
 }
 
+bool async_server::busy() const
+{
+    return this->held->in_flight > 0;
+}
+
 std::size_t async_server::in_flight() const
 {
     return this->held->in_flight;
--- a/source/http/async_server.hpp
+++ b/source/http/async_server.hpp
@@ -83,6 +83,9 @@
     /// @brief Closes the listening socket and all idle connections.
     void stop_listening();
 
+    /// @brief True while a request is being read, handled or responded to.
+    bool busy() const;
+
     /// @brief Number of requests that were read and not fully responded to.
     std::size_t in_flight() const;
 
--- a/source/peers/beacon_socket.cpp
+++ b/source/peers/beacon_socket.cpp
@@ -186,7 +186,7 @@
 void beacon_socket::send_by_relays(const core::peers::beacon& beacon,
                                    core::instant now)
 {
-    this->peers.set_reported(beacon.loads);
+    this->peers.add_report(beacon.sent_ms, beacon.loads);
     auto bytes = pack(beacon);
     for (const auto* relay : this->peers.relays(now))
         this->send_to(*relay, bytes);
@@ -264,7 +264,12 @@
     beacon.loads.clear();
     for (const auto& [endpoint, load] : sums)
         beacon.loads.push_back(load);
-    this->send_to_zone(pack(beacon));
+    auto bytes = pack(beacon);
+    for (const auto& [name, peer] : this->peers.all())
+        if (peer.zone == this->identity.zone)
+            this->send_to(peer, with_included(
+                                    peer.loads.empty() ? 0 : peer.loads_sent_ms,
+                                    bytes));
 }
 
 void beacon_socket::send_summary(core::peers::beacon summary, core::instant now)
--- a/source/peers/packing.cpp
+++ b/source/peers/packing.cpp
@@ -82,6 +82,26 @@
     MSGPACK_DEFINE(revision, entries, expired)
 };
 
+// Reads the number that may precede a beacon; returns how many bytes it took. A
+// beacon itself is an array.
+std::size_t read_included(std::string_view bytes, std::int64_t& included_ms)
+{
+    try
+    {
+        std::size_t offset = 0;
+        auto first = msgpack::unpack(bytes.data(), bytes.size(), offset);
+        if (first.get().type == msgpack::type::ARRAY)
+            return 0;
+        first.get().convert(included_ms);
+        return offset;
+    }
+    catch (const std::exception&)
+    {
+        // The beacon is then unreadable, too, which is logged there.
+        return 0;
+    }
+}
+
 } // namespace
 
 std::string pack(const core::peers::beacon& beacon)
@@ -111,8 +131,15 @@
     return to_bytes(packed);
 }
 
+std::string with_included(std::int64_t included_ms, std::string_view beacon)
+{
+    return to_bytes(included_ms).append(beacon);
+}
+
 std::optional<core::peers::beacon> unpack_beacon(std::string_view bytes)
 {
+    std::int64_t included_ms = 0;
+    bytes.remove_prefix(read_included(bytes, included_ms));
     auto packed = from_bytes<packed_beacon>(bytes, "beacon");
     constexpr auto last_scope =
         static_cast<std::uint8_t>(core::peers::beacon_scope::fleet);
@@ -133,6 +160,7 @@
                    core::milliseconds(0), longest_interval);
     beacon.leaving = packed->leaving;
     beacon.store_unreachable = packed->store_unreachable;
+    beacon.included_ms = included_ms;
     beacon.scope = static_cast<core::peers::beacon_scope>(packed->scope);
     for (const auto& echo : packed->echoes)
         beacon.echoes.push_back({echo.peer, echo.incarnation, echo.sent_ms});
--- a/source/peers/packing.hpp
+++ b/source/peers/packing.hpp
@@ -13,6 +13,10 @@
 /// @brief Serializes a beacon for a datagram.
 std::string pack(const core::peers::beacon& beacon);
 
+/// @brief Puts the time of the receiver's own loads in front of a serialized
+/// beacon, so that it is serialized once for all hosts of a zone.
+std::string with_included(std::int64_t included_ms, std::string_view beacon);
+
 /// @brief Parses a datagram; nothing if it is malformed or of another format.
 std::optional<core::peers::beacon> unpack_beacon(std::string_view bytes);
 
--- a/tests/core/client_faults_test.cpp
+++ b/tests/core/client_faults_test.cpp
@@ -209,3 +209,110 @@
         }
     }
 }
+
+namespace
+{
+
+struct late_copy_row
+{
+    const char* name;
+    const char* copy;
+};
+
+// What arrives on a connection after a complete answer, before the next request
+// is written.
+const late_copy_row late_copies[] = {
+    {"the whole answer again", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst"},
+    {"the answer's head", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"},
+    {"half a status line", "HTTP/1.1 2"},
+    {"bytes that are no answer", "\r\n\r\n"},
+};
+
+} // namespace
+
+// A worker sends a second copy of an answer late. The process may not have seen
+// it when the connection is taken for the next request.
+TEST_CASE("client, copy of an answer on a kept connection, is not the next "
+          "caller's")
+{
+    for (const auto& row : late_copies)
+    {
+        DYNAMIC_SECTION(row.name)
+        {
+            boost::asio::io_context loop;
+            boost::asio::io_context peer_loop;
+            tcp::acceptor acceptor(
+                peer_loop, tcp::endpoint(boost::asio::ip::make_address_v4(
+                                             "127.0.0.1"),
+                                         0));
+            auto address =
+                "127.0.0.1:" +
+                std::to_string(acceptor.local_endpoint().port());
+            std::atomic<bool> copied{false};
+            std::thread peer(
+                [&]
+                {
+                    boost::system::error_code error;
+                    std::string first =
+                        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
+                    std::string second =
+                        "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond";
+                    tcp::socket kept(peer_loop);
+                    acceptor.accept(kept);
+                    boost::asio::streambuf head;
+                    boost::asio::read_until(kept, head, "\r\n\r\n", error);
+                    boost::asio::write(kept, boost::asio::buffer(first), error);
+                    std::this_thread::sleep_for(100ms);
+                    boost::asio::write(
+                        kept, boost::asio::buffer(std::string(row.copy)),
+                        error);
+                    copied = true;
+                    // The next request comes on a new connection.
+                    tcp::socket fresh(peer_loop);
+                    acceptor.accept(fresh);
+                    boost::asio::streambuf next;
+                    boost::asio::read_until(fresh, next, "\r\n\r\n", error);
+                    boost::asio::write(fresh, boost::asio::buffer(second),
+                                       error);
+                });
+            http::async_client client(loop);
+            struct text_listener : ending_listener
+            {
+                void on_body(std::string_view piece) override
+                {
+                    this->text += piece;
+                }
+                std::string text;
+            };
+            auto perform = [&]
+            {
+                auto listener = std::make_shared<text_listener>();
+                http::client_request outgoing;
+                outgoing.target = "/x";
+                auto call = client.start("key", address, outgoing, listener);
+                auto end = std::chrono::steady_clock::now() + 2s;
+                while (!listener->ended &&
+                       std::chrono::steady_clock::now() < end)
+                {
+                    loop.restart();
+                    loop.run_for(5ms);
+                }
+                call->cancel();
+                return listener->text;
+            };
+            CHECK(perform() == "first");
+            // The loop doesn't run while the copy arrives.
+            while (!copied)
+                std::this_thread::sleep_for(5ms);
+            std::this_thread::sleep_for(20ms);
+            CHECK(perform() == "second");
+            // Ends the peer also where no second connection was made.
+            boost::system::error_code ignored;
+            tcp::socket last(peer_loop);
+            last.connect(acceptor.local_endpoint(), ignored);
+            boost::asio::write(last, boost::asio::buffer("\r\n\r\n", 4),
+                               ignored);
+            peer.join();
+        }
+    }
+}
--- a/tests/core/peers_test.cpp
+++ b/tests/core/peers_test.cpp
@@ -231,9 +231,12 @@
                  "fleet loads, sent by the lead, contain this host's once")
 {
     this->peers.receive(this->from("a", 1), this->now);
-    this->peers.set_reported({{42, 2, 1}});
+    this->peers.add_report(100, {{42, 2, 1}});
+    // Told to the relays later than the sums were made.
+    this->peers.add_report(150, {{42, 7, 3}});
     auto sums = this->from("a", 2);
     sums.scope = core::peers::beacon_scope::fleet;
+    sums.included_ms = 100;
     sums.loads = {{42, 5, 4}, {43, 1, 0}};
     CHECK(this->peers.receive(sums, this->now));
     CHECK(this->peers.load(42).online == 3);
--- /dev/null
+++ b/tests/core/server_stop_test.cpp
@@ -0,0 +1,149 @@
+#include <catch2/catch.hpp>
+
+#include <string>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include "http/async_server.hpp"
+
+using namespace amaranthhatch;
+using namespace std::chrono_literals;
+using tcp = boost::asio::ip::tcp;
+
+namespace
+{
+
+const std::string whole_request =
+    "GET /x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
+
+/// @brief A server whose loop runs only when the test says so, as under load.
+struct stopping_server
+{
+    stopping_server()
+    {
+        tcp::acceptor probe(
+            this->loop,
+            tcp::endpoint(boost::asio::ip::make_address_v4("127.0.0.1"), 0));
+        this->endpoint = probe.local_endpoint();
+        probe.close();
+        this->server = std::make_unique<http::async_server>(
+            this->loop,
+            "127.0.0.1:" + std::to_string(this->endpoint.port()),
+            [] { return http::server_limits(); },
+            [this](const std::shared_ptr<http::server_exchange>& exchange)
+            {
+                this->handled++;
+                exchange->respond(200, {}, "done");
+            });
+    }
+
+    tcp::socket connect()
+    {
+        tcp::socket socket(this->client_loop);
+        socket.connect(this->endpoint);
+        return socket;
+    }
+
+    static void write(tcp::socket& socket, const std::string& text)
+    {
+        boost::asio::write(socket, boost::asio::buffer(text));
+    }
+
+    void run(std::chrono::milliseconds time)
+    {
+        this->loop.restart();
+        this->loop.run_for(time);
+    }
+
+    void stop()
+    {
+        this->server->close_after_responses();
+        this->server->stop_listening();
+    }
+
+    /// @brief All that the peer has sent, after the loop has run for a while.
+    std::string answer(tcp::socket& socket)
+    {
+        this->run(100ms);
+        std::string text(4096, '\0');
+        boost::system::error_code error;
+        socket.non_blocking(true);
+        auto count = socket.read_some(boost::asio::buffer(text), error);
+        return text.substr(0, error ? 0 : count);
+    }
+
+    boost::asio::io_context loop;
+    boost::asio::io_context client_loop;
+    tcp::endpoint endpoint;
+    std::unique_ptr<http::async_server> server;
+    int handled = 0;
+};
+
+bool answered(const std::string& text)
+{
+    return text.starts_with("HTTP/1.1 200") &&
+           text.find("Connection: close") != text.npos &&
+           text.ends_with("done");
+}
+
+} // namespace
+
+TEST_CASE_METHOD(stopping_server,
+                 "server, stopped with a request in its queue of connections, "
+                 "answers it")
+{
+    auto first = this->connect();
+    auto second = this->connect();
+    this->write(first, whole_request);
+    this->write(second, whole_request);
+    this->stop();
+    CHECK(answered(this->answer(first)));
+    CHECK(answered(this->answer(second)));
+    CHECK(this->handled == 2);
+}
+
+TEST_CASE_METHOD(stopping_server,
+                 "server, stopped with an unread request on a kept connection, "
+                 "answers it")
+{
+    auto kept = this->connect();
+    this->write(kept, whole_request);
+    CHECK(this->answer(kept).starts_with("HTTP/1.1 200"));
+    this->write(kept, whole_request);
+    this->stop();
+    CHECK(this->server->busy());
+    CHECK(answered(this->answer(kept)));
+    CHECK(this->handled == 2);
+    CHECK_FALSE(this->server->busy());
+}
+
+TEST_CASE_METHOD(stopping_server,
+                 "server, stopped while a request arrives, waits for the rest")
+{
+    auto slow = this->connect();
+    this->write(slow, whole_request.substr(0, 20));
+    this->run(50ms);
+    this->stop();
+    CHECK(this->server->busy());
+    this->run(50ms);
+    this->write(slow, whole_request.substr(20));
+    CHECK(answered(this->answer(slow)));
+    CHECK_FALSE(this->server->busy());
+}
+
+TEST_CASE_METHOD(stopping_server, "server, stopped, closes idle connections")
+{
+    auto kept = this->connect();
+    this->write(kept, whole_request);
+    CHECK(this->answer(kept).starts_with("HTTP/1.1 200"));
+    this->stop();
+    this->run(50ms);
+    CHECK_FALSE(this->server->busy());
+    char byte = 0;
+    boost::system::error_code error;
+    kept.read_some(boost::asio::buffer(&byte, 1), error);
+    CHECK(error == boost::asio::error::eof);
+}
--- a/tests/core/shell_io_test.cpp
+++ b/tests/core/shell_io_test.cpp
@@ -393,6 +393,23 @@
     close(file);
 }
 
+TEST_CASE("beacon, with the time of the receiver's loads, is read with it")
+{
+    core::peers::beacon sent;
+    sent.name = "lead";
+    sent.scope = core::peers::beacon_scope::fleet;
+    sent.loads = {{42, 3, 1}};
+    for (std::int64_t included : {0ll, 7ll, 123456789ll, 1ll << 40})
+    {
+        auto read =
+            peers::unpack_beacon(peers::with_included(included, peers::pack(sent)));
+        REQUIRE(read);
+        CHECK(read->included_ms == included);
+        CHECK(read->loads.size() == 1);
+    }
+    CHECK(peers::unpack_beacon(peers::pack(sent))->included_ms == 0);
+}
+
 TEST_CASE("peer messages, truncated anywhere, are refused and never crash")
 {
     core::peers::beacon sent;
