--- a/source/http/async_server.cpp
+++ b/source/http/async_server.cpp
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <unordered_set>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -35,20 +36,25 @@
 // largest read.
 constexpr std::size_t unsent_limit_bytes = 8u << 20;
 constexpr int listen_backlog = 1024;
+// A caller that has connected sends its request within this time.
+constexpr std::chrono::milliseconds first_request_wait{300};
 
 } // namespace
 
 struct async_server::state
 {
     state(asio::io_context& loop, limit_source limits, handler handle)
-        : acceptor(loop), timer(loop), limits(std::move(limits)),
+        : loop(loop), acceptor(loop), timer(loop), limits(std::move(limits)),
           handle(std::move(handle))
     {
     }
 
     void accept(const std::shared_ptr<state>& self);
+    void accept_queued(const std::shared_ptr<state>& self);
+    void serve(const std::shared_ptr<state>& self, tcp::socket accepted);
     void sweep(const std::shared_ptr<state>& self);
 
+    asio::io_context& loop;
     tcp::acceptor acceptor;
     asio::steady_timer timer;
     limit_source limits;
@@ -78,6 +84,7 @@
     void read_next();
     void close();
     void close_if_idle();
+    bool busy() const;
     void check_time(steady::time_point now);
 
     const request& received_request() const override { return this->current; }
@@ -117,8 +124,10 @@
     std::string unsent;
     std::string sending;
     steady::time_point deadline = steady::time_point::max();
+    steady::time_point accepted_at = steady::now();
     bool counted = false;
     bool head_seen = false;
+    bool fresh = true;
     bool response_ended = false;
     bool caller_closes = false;
     bool close_after_write = false;
@@ -204,6 +213,7 @@
     this->caller_closes = !message.keep_alive();
     this->response_ended = false;
     this->counted = true;
+    this->fresh = false;
     this->owner->in_flight++;
     this->watch_peer();
     this->owner->handle(this->shared_from_this());
@@ -375,9 +385,22 @@
     this->socket.close(ignored);
 }
 
+// A request may have arrived although the loop hasn't read it yet, and the
+// first one follows its connection at once.
+bool async_server::session::busy() const
+{
+    if (this->closed)
+        return false;
+    error_code error;
+    bool unread = this->buffer.size() > 0 || this->socket.available(error) > 0;
+    bool awaited =
+        this->fresh && steady::now() - this->accepted_at < first_request_wait;
+    return this->counted || this->head_seen || unread || awaited;
+}
+
 void async_server::session::close_if_idle()
 {
-    if (!this->counted && !this->head_seen && this->buffer.size() == 0)
+    if (!this->busy())
         this->close();
 }
 
@@ -392,18 +415,35 @@
     this->acceptor.async_accept(
         [self](error_code error, tcp::socket accepted)
         {
-            if (self->stopped)
-                return;
             if (!error)
-            {
-                set_traffic_options(accepted);
-                std::make_shared<session>(std::move(accepted), self)
-                    ->read_next();
-            }
-            self->accept(self);
+                self->serve(self, std::move(accepted));
+            if (!self->stopped)
+                self->accept(self);
         });
 }
 
+void async_server::state::serve(const std::shared_ptr<state>& self,
+                                tcp::socket accepted)
+{
+    set_traffic_options(accepted);
+    std::make_shared<session>(std::move(accepted), self)->read_next();
+}
+
+// Callers whose connections wait in the queue have been told that they are
+// connected; closing the socket would reset them.
+void async_server::state::accept_queued(const std::shared_ptr<state>& self)
+{
+    error_code error;
+    this->acceptor.non_blocking(true, error);
+    while (!error)
+    {
+        tcp::socket accepted(this->loop);
+        this->acceptor.accept(accepted, error);
+        if (!error)
+            this->serve(self, std::move(accepted));
+    }
+}
+
 void async_server::state::sweep(const std::shared_ptr<state>& self)
 {
     this->timer.expires_after(sweep_interval);
@@ -454,6 +494,8 @@
 
 void async_server::stop_listening()
 {
+    if (!this->held->stopped)
+        this->held->accept_queued(this->held);
     this->held->stopped = true;
     error_code ignored;
     this->held->acceptor.close(ignored);
@@ -466,7 +508,9 @@
 
 bool async_server::busy() const
 {
-    return this->held->in_flight > 0;
+    return std::any_of(this->held->sessions.begin(),
+                       this->held->sessions.end(),
+                       [](const session* open) { return open->busy(); });
 }
 
 std::size_t async_server::in_flight() const
