errors: Keep one failing step from ending the process or a timer

Cause: an exception in a handler, a timer, a posted piece of work or the handling of a datagram left the loop and ended the process; one in a worker's or control thread called terminate. Items: comments that kept a stream open counted as its progress, so that a run that sent nothing else never ended, and an item whose endpoints were all slower than a second an event was cut each time.

Change: errors/contain runs a step, logs and counts what it throws; used where loops, threads and timers call out. A handler that throws gets 500 ("may have run"), or its begun answer is cut; a thread that can't be started is a true 503. Only events with data are progress; each stall doubles the patience of an item's next run.

--- a/source/batches/batch_service.cpp
+++ b/source/batches/batch_service.cpp
@@ -5,6 +5,7 @@
 
 #include "batches/results.hpp"
 #include "core/hash.hpp"
+#include "errors/contain.hpp"
 #include "host/boot_clock.hpp"
 #include "logging/event.hpp"
 
@@ -91,7 +92,7 @@
         {
             if (error || this->stopped)
                 return;
-            this->tick();
+            errors::contain("run the batch tick", [this] { this->tick(); });
             this->schedule_tick();
         });
 }
--- a/source/batches/item_run.cpp
+++ b/source/batches/item_run.cpp
@@ -22,10 +22,10 @@
 item_run::item_run(item_scheduler& scheduler, std::string job,
                    std::uint32_t item, const core::batches::item& content,
                    std::string authority,
-                   const core::endpoints::endpoint& chosen)
+                   const core::endpoints::endpoint& chosen, int patience)
     : scheduler(scheduler), job_id(std::move(job)), item_number(item),
       content(content), authority(std::move(authority)), endpoint_id(chosen.id),
-      address(chosen.address)
+      address(chosen.address), patience(patience)
 {
     const auto* log = scheduler.jobs.find(this->job_id);
     this->accepted_record = log->records().front();
@@ -97,7 +97,8 @@
         return this->abandon_call("event over the limit");
     if (complete_events.empty())
         return;
-    this->last_event = now;
+    if (forward::has_data(complete_events))
+        this->last_event = now;
     auto& progress =
         this->scheduler.progress_of(this->job_id, this->item_number).events;
     forward::for_each_data(complete_events,
@@ -112,7 +113,7 @@
 bool item_run::stalled(core::instant now) const
 {
     auto limit = this->event_count > 0 ? next_event_limit : first_event_limit;
-    return now - this->last_event > limit;
+    return now - this->last_event > limit * this->patience;
 }
 
 void item_run::interrupt(std::string_view reason)
@@ -120,10 +121,14 @@
     if (this->state != run_state::running)
         return;
     this->call->cancel();
-    this->finish(run_state::retry,
-                 reason == "stalled" ? run_outcome::broken
-                                     : run_outcome::cancelled,
-                 reason);
+    this->finish(run_state::retry, run_outcome::cancelled, reason);
+}
+
+void item_run::interrupt_stalled()
+{
+    this->call->cancel();
+    this->has_stalled = true;
+    this->finish(run_state::retry, run_outcome::broken, "stalled");
 }
 
 void item_run::on_end(http::call_end call_result, std::string_view detail)
--- a/source/batches/item_run.hpp
+++ b/source/batches/item_run.hpp
@@ -31,7 +31,7 @@
 
     item_run(item_scheduler& scheduler, std::string job, std::uint32_t item,
              const core::batches::item& content, std::string authority,
-             const core::endpoints::endpoint& chosen);
+             const core::endpoints::endpoint& chosen, int patience);
 
     void start();
 
@@ -39,6 +39,9 @@
     /// the next run of the item resumes after them.
     void interrupt(std::string_view reason);
 
+    /// @brief Cancels a run that has stalled, which its endpoint answers for.
+    void interrupt_stalled();
+
     bool on_head(int status, const http::header_list& headers) override;
     void on_body(std::string_view piece) override;
     void on_end(http::call_end call_result, std::string_view detail) override;
@@ -58,6 +61,8 @@
     run_state result() const { return this->state; }
     /// @brief True if the endpoint responded that it didn't run the item.
     bool refused() const { return this->not_run; }
+    /// @brief True if the run was interrupted as it had stalled.
+    bool ended_stalled() const { return this->has_stalled; }
 
 private:
     void abandon_call(std::string_view reason);
@@ -72,6 +77,8 @@
     std::string authority;
     std::string endpoint_id;
     std::string address;
+    /// Factor of the time for which the run may send no event.
+    int patience;
     std::shared_ptr<http::client_call> call;
     core::endpoints::run_key run;
     forward::event_splitter events;
@@ -80,6 +87,7 @@
     std::size_t event_count = 0;
     int status = 0;
     bool not_run = false;
+    bool has_stalled = false;
     run_state state = run_state::running;
     // Owns the item that `content` refers to, as the job may be removed from
     // the store during the run.
--- a/source/batches/item_scheduler.cpp
+++ b/source/batches/item_scheduler.cpp
@@ -21,6 +21,9 @@
 constexpr core::milliseconds retry_delay{300};
 // Mean delay before an item is run again that an endpoint has refused.
 constexpr core::milliseconds refused_delay{200};
+// Each stall doubles the time that an item's next run may stay without events,
+// up to sixteen times.
+constexpr int most_patience_doublings = 4;
 // Slots that batch items leave free on each endpoint. Load is published by
 // beacon, so an online request that arrives before the next beacon still finds
 // a free slot.
@@ -131,7 +134,7 @@
         if (!owner || !owner->serving())
             run->interrupt("not the owner");
         else if (run->stalled(now))
-            run->interrupt("stalled");
+            run->interrupt_stalled();
         else
             runs_by_endpoint[run->endpoint()].push_back(run);
     }
@@ -288,10 +291,13 @@
         return false;
     const auto* log = this->jobs.find(next.job);
     const auto& job = *log->submitted();
-    this->progress_of(next.job, next.item).running = true;
-    auto run = std::make_shared<item_run>(*this, next.job, next.item,
-                                          job.items[next.item], job.authority,
-                                          *chosen.chosen);
+    auto& state = this->progress_of(next.job, next.item);
+    state.running = true;
+    // Where every endpoint is slow but sound, an item gets its time in the end.
+    auto patience = 1 << std::min(state.stalls, most_patience_doublings);
+    auto run = std::make_shared<item_run>(
+        *this, next.job, next.item, job.items[next.item], job.authority,
+        *chosen.chosen, patience);
     this->runs.push_back(run);
     run->start();
     return true;
@@ -341,6 +347,7 @@
         break;
     }
     case item_run::run_state::retry:
+        state.stalls += run->ended_stalled() ? 1 : 0;
         // The loads don't show yet that the endpoint is full.
         if (run->refused())
             state.retry_at = host::boot_now() +
--- a/source/batches/item_scheduler.hpp
+++ b/source/batches/item_scheduler.hpp
@@ -26,6 +26,8 @@
     core::instant retry_at{};
     /// Time for which its runs of the present attempt have held slots.
     core::milliseconds held_slot{};
+    /// Runs that were interrupted because they had stalled.
+    int stalls = 0;
 };
 
 /// @brief The open items of the jobs that this host owns, by job id and item
--- a/source/control/control_loop.cpp
+++ b/source/control/control_loop.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <chrono>
 
+#include "errors/contain.hpp"
+
 namespace amaranthhatch::control
 {
 
@@ -74,7 +76,7 @@
             // Missed turns are skipped, so that a process that was paused
             // doesn't run a burst of them.
             one.due = now + one.interval;
-            one.repeated();
+            errors::contain("run a timer of the control loop", one.repeated);
         }
         next = std::min(next, one.due - monotonic_now());
     }
@@ -97,7 +99,7 @@
             taken.swap(this->pending);
         }
         for (auto& once : taken)
-            once();
+            errors::contain("run work of the control loop", once);
     }
 }
 
--- a/source/control/worker_pool.cpp
+++ b/source/control/worker_pool.cpp
@@ -1,5 +1,7 @@
 #include "control/worker_pool.hpp"
 
+#include "errors/contain.hpp"
+
 namespace amaranthhatch::control
 {
 
@@ -43,7 +45,7 @@
         work once = std::move(this->pending.front());
         this->pending.pop_front();
         lock.unlock();
-        once();
+        errors::contain("run queued work", once);
         lock.lock();
     }
 }
--- a/source/forward/event_splitter.cpp
+++ b/source/forward/event_splitter.cpp
@@ -46,6 +46,13 @@
     return this->incomplete.size() > event_limit_bytes;
 }
 
+bool has_data(std::string_view events)
+{
+    constexpr std::string_view field = "data:";
+    return events.starts_with(field) ||
+           events.find("\ndata:") != events.npos;
+}
+
 void event_splitter::record_last_id(std::string_view events)
 {
     constexpr std::string_view field = "id:";
--- a/source/forward/online_request.cpp
+++ b/source/forward/online_request.cpp
@@ -230,13 +230,8 @@
     auto complete_events = this->events.feed(piece);
     if (complete_events.empty())
         return;
-    auto now = host::boot_now();
-    if (this->first_event_at == core::instant::zero())
-        this->first_event_at = now;
-    else
-        this->longest_gap =
-            std::max(this->longest_gap, now - this->last_event_at);
-    this->last_event_at = now;
+    if (has_data(complete_events))
+        this->record_event(host::boot_now());
     if (!this->response_started)
     {
         this->response_started = true;
@@ -245,6 +240,16 @@
     this->exchange->write(complete_events);
 }
 
+void online_request::record_event(core::instant now)
+{
+    if (this->first_event_at == core::instant::zero())
+        this->first_event_at = now;
+    else
+        this->longest_gap =
+            std::max(this->longest_gap, now - this->last_event_at);
+    this->last_event_at = now;
+}
+
 void online_request::end_run(run_outcome result)
 {
     this->call = nullptr;
--- a/source/forward/online_request.hpp
+++ b/source/forward/online_request.hpp
@@ -52,6 +52,7 @@
     void send_to(const core::endpoints::endpoint& chosen);
     http::client_request
     compose_request(const core::endpoints::endpoint& chosen) const;
+    void record_event(core::instant now);
     void abandon_call(std::string_view reason);
     void forward_events(std::string_view piece);
     void on_complete();
--- a/source/host/host_runtime.cpp
+++ b/source/host/host_runtime.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 
 #include "core/hash.hpp"
+#include "errors/contain.hpp"
 #include "host/boot_clock.hpp"
 #include "host/registration.hpp"
 #include "http/buffered_call.hpp"
@@ -325,7 +326,8 @@
         {
             if (error || this->stopped)
                 return;
-            this->check_mirrors();
+            errors::contain("check the copies of the store",
+                            [this] { this->check_mirrors(); });
             this->schedule_check();
         });
 }
--- a/source/http/async_server.cpp
+++ b/source/http/async_server.cpp
@@ -13,6 +13,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include "errors/contain.hpp"
 #include "errors/failure.hpp"
 #include "http/message_text.hpp"
 #include "http/socket_options.hpp"
@@ -104,6 +105,7 @@
     void on_head(error_code error);
     void on_request(error_code error);
     void refuse(int status, std::string_view reason);
+    void fail();
     void watch_peer();
     void on_readable(error_code error);
     void on_written(error_code error);
@@ -128,6 +130,7 @@
     bool counted = false;
     bool head_seen = false;
     bool fresh = true;
+    bool response_begun = false;
     bool response_ended = false;
     bool caller_closes = false;
     bool close_after_write = false;
@@ -211,12 +214,27 @@
             {field.value().data(), field.value().size()});
     this->current.body = std::move(message.body());
     this->caller_closes = !message.keep_alive();
+    this->response_begun = false;
     this->response_ended = false;
     this->counted = true;
     this->fresh = false;
     this->owner->in_flight++;
     this->watch_peer();
-    this->owner->handle(this->shared_from_this());
+    bool handled = errors::contain(
+        "handle a request",
+        [this] { this->owner->handle(this->shared_from_this()); });
+    if (!handled)
+        this->fail();
+}
+
+// The handler may have begun a response, and may have passed the request on.
+void async_server::session::fail()
+{
+    if (this->response_begun)
+        return this->abort();
+    header_list headers;
+    headers.add("Content-Type", "text/plain");
+    this->respond(500, headers, "unexpected error; may have run\n");
 }
 
 void async_server::session::refuse(int status, std::string_view reason)
@@ -247,6 +265,7 @@
 {
     if (this->response_ended || this->closed)
         return;
+    this->response_begun = true;
     this->unsent +=
         head_text(status, headers, std::nullopt, this->keep_alive());
     this->flush();
--- a/source/http/server.cpp
+++ b/source/http/server.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 
+#include "errors/contain.hpp"
 #include "http/async_server.hpp"
 
 namespace amaranthhatch::http
@@ -53,14 +54,24 @@
 {
     this->in_flight++;
     this->handlers++;
-    std::thread(
-        [self = this->shared_from_this(), exchange,
-         received = exchange->received_request()]
-        {
-            self->run_handler(exchange, received);
-            self->handlers--;
-        })
-        .detach();
+    auto start = [&]
+    {
+        std::thread(
+            [self = this->shared_from_this(), exchange,
+             received = exchange->received_request()]
+            {
+                self->run_handler(exchange, received);
+                self->handlers--;
+            })
+            .detach();
+    };
+    if (errors::contain("start a thread for a request", start))
+        return;
+    this->handlers--;
+    this->in_flight--;
+    header_list headers;
+    headers.add("Retry-After", "1");
+    exchange->respond(503, headers, "not run: no thread is free\n");
 }
 
 void server::state::run_handler(
@@ -72,7 +83,15 @@
             exchange->on_disconnect([disconnected]
                                     { disconnected->store(true); });
         });
-    response result = this->handle(received);
+    response result;
+    bool handled = errors::contain("handle a request", [&]
+                                   { result = this->handle(received); });
+    if (!handled)
+    {
+        result = {};
+        result.status = 500;
+        result.body = "unexpected error; may have run\n";
+    }
     if (result.stream)
         this->send_stream(exchange, result, *disconnected);
     else
--- a/source/peers/beacon_socket.cpp
+++ b/source/peers/beacon_socket.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 
+#include "errors/contain.hpp"
 #include "errors/failure.hpp"
 #include "host/boot_clock.hpp"
 #include "http/socket_options.hpp"
@@ -102,7 +103,9 @@
             if (this->stopped)
                 return;
             if (!error)
-                this->handle_datagram({this->buffer.data(), count});
+                errors::contain(
+                    "handle a beacon", [&]
+                    { this->handle_datagram({this->buffer.data(), count}); });
             this->receive();
         });
 }
@@ -155,8 +158,10 @@
     this->timer.async_wait(
         [this](error_code error)
         {
-            if (!error && !this->stopped)
-                this->send();
+            if (error || this->stopped)
+                return;
+            if (!errors::contain("send a beacon", [this] { this->send(); }))
+                this->schedule(idle_interval);
         });
 }
 
--- a/source/store/mirror.cpp
+++ b/source/store/mirror.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "errors/contain.hpp"
 #include "host/boot_clock.hpp"
 #include "logging/event.hpp"
 
@@ -276,8 +277,9 @@
 
 void mirror::report_change()
 {
+    // The mirror reads on, whatever a reader of the entries makes of them.
     if (this->changed_callback)
-        this->changed_callback();
+        errors::contain("apply a change of the store", this->changed_callback);
 }
 
 } // namespace amaranthhatch::store
--- a/tests/core/shell_io_test.cpp
+++ b/tests/core/shell_io_test.cpp
@@ -345,6 +345,29 @@
     }
 }
 
+TEST_CASE("event splitter, event without end, is over its limit and searched "
+          "once")
+{
+    forward::event_splitter splitter;
+    const std::string block(16u << 10, 'x');
+    splitter.feed("id: 1\ndata: ");
+    CHECK_FALSE(splitter.over_limit());
+    auto began = std::chrono::steady_clock::now();
+    for (int number = 0; number < 512; number++)
+        CHECK(splitter.feed(block).empty());
+    CHECK(splitter.over_limit());
+    // A search from the start at each block takes several seconds.
+    CHECK(std::chrono::steady_clock::now() - began < 1s);
+}
+
+TEST_CASE("event data, comments alone, are no progress")
+{
+    CHECK(forward::has_data("id: 1\ndata: a\n\n"));
+    CHECK(forward::has_data("data: a\n\n"));
+    CHECK_FALSE(forward::has_data(": still here\n\n"));
+    CHECK_FALSE(forward::has_data("id: 7\n\n"));
+}
+
 TEST_CASE("event data, several lines, are joined by line feeds")
 {
     std::vector<std::string> data;
