batches: Share the free slots of a common view among the owners

When a crest ends, each of 24 owners saw the same hundreds of free slots and started items on all of them; the excess was then cut by one and a half times too much, and so on in turn.

Change: on a view that the lead sends, an owner starts at most its share of the free slots, plus the slots that its own items give back; cuts settle for 250 ms there and count 1.5 times the share (2 before). In small zones nothing is shared out.

--- a/source/batches/item_scheduler.cpp
+++ b/source/batches/item_scheduler.cpp
@@ -40,8 +40,10 @@
 // the mean still.
 constexpr int least_work_divisor = 8;
 // After a run was interrupted, the loads show it within this time; until then
-// the same excess isn't answered again.
+// the same excess isn't answered again. The lead's sums take longer than
+// beacons that come directly.
 constexpr core::milliseconds preempt_settle{100};
+constexpr core::milliseconds preempt_settle_by_lead{250};
 
 } // namespace
 
@@ -140,8 +142,10 @@
     }
     for (auto& [endpoint, endpoint_runs] : runs_by_endpoint)
         this->preempt_at(endpoint, endpoint_runs, now);
+    auto settle = this->runtime.peers().follows_lead() ? preempt_settle_by_lead
+                                                       : preempt_settle;
     std::erase_if(this->preempted_at, [&](const auto& entry)
-                  { return now - entry.second >= preempt_settle; });
+                  { return now - entry.second >= settle; });
 }
 
 void item_scheduler::preempt_at(
@@ -154,14 +158,14 @@
     // The excess counts the runs of all hosts at the endpoint, so each host
     // interrupts only its share of them. The fraction is rounded at random, as
     // many hosts with one run each would else all interrupt theirs; it counts
-    // double, so that seldom none of them does.
+    // half as much again, so that seldom none of them does.
     auto own = static_cast<double>(endpoint_runs.size());
     auto peer_runs =
         this->runtime.peers().load(core::endpoints::load_key(endpoint)).batch;
     auto share = excess * own / (own + peer_runs);
     auto count =
         std::min(static_cast<std::size_t>(excess),
-                 static_cast<std::size_t>(2 * share + host::uniform()));
+                 static_cast<std::size_t>(1.5 * share + host::uniform()));
     if (count == 0)
         return;
     this->preempted_at[endpoint] = now;
@@ -280,9 +284,32 @@
             return;
 }
 
+// Answers the load at which a crest of online requests ends and hundreds of
+// slots become free: every owner sees all of them and has items for all. On a
+// view that many hosts share, each takes its share; what one leaves over shows
+// in the next view.
+bool item_scheduler::may_start(std::string_view service, core::instant now)
+{
+    const auto& peers = this->runtime.peers();
+    if (!peers.follows_lead())
+        return true;
+    if (this->allowance_view != peers.view_number())
+    {
+        this->allowance_view = peers.view_number();
+        auto free = this->runtime.endpoints().free_for_batch(
+            service, {reserved_slots, 1}, now);
+        this->start_allowance =
+            free / static_cast<double>(this->placement.owner_count()) +
+            host::uniform();
+    }
+    return this->start_allowance >= 1;
+}
+
 bool item_scheduler::start_item(const candidate& next, core::instant now)
 {
     auto service = core::routes::select_service(*next.route, host::uniform());
+    if (!this->may_start(service, now))
+        return false;
     bool late = model::chance_of(next.demand) == model::item_chance::late;
     auto chosen = this->runtime.endpoints().choose_batch(
         service, {reserved_slots, late ? late_item_share : 1}, now,
@@ -299,6 +326,7 @@
         *this, next.job, next.item, job.items[next.item], job.authority,
         *chosen.chosen, patience);
     this->runs.push_back(run);
+    this->start_allowance -= 1;
     run->start();
     return true;
 }
@@ -313,6 +341,8 @@
     {
     case item_run::run_state::complete:
     {
+        // The slot that has become free is this host's to use again.
+        this->start_allowance += 1;
         const auto* log = this->jobs.find(run->job());
         const auto* route = log == nullptr || log->submitted() == nullptr
                                 ? nullptr
--- a/source/batches/item_scheduler.hpp
+++ b/source/batches/item_scheduler.hpp
@@ -102,6 +102,7 @@
     void add_candidates(const core::batches::job_log& log, core::instant now,
                         std::vector<candidate>& out);
     bool start_item(const candidate& next, core::instant now);
+    bool may_start(std::string_view service, core::instant now);
     void give_up(const std::string& job, std::uint32_t item,
                  std::string_view reason);
     void store_result(const std::string& job, std::uint32_t item,
@@ -116,6 +117,9 @@
     std::shared_ptr<const core::routes::route_table> table;
     batches::open_items progress;
     std::vector<std::shared_ptr<item_run>> runs;
+    /// Runs that this host may still start on the present view of the loads.
+    double start_allowance = 0;
+    std::uint64_t allowance_view = 0;
     /// When runs were last interrupted at an endpoint.
     std::map<std::string, core::instant> preempted_at;
     /// Mean time in milliseconds for which an item holds a slot, by route.
--- a/source/batches/placement_agent.cpp
+++ b/source/batches/placement_agent.cpp
@@ -63,6 +63,15 @@
     return found == this->owners.end() ? nullptr : found->second;
 }
 
+std::size_t placement_agent::owner_count() const
+{
+    std::set<std::string_view> disks;
+    if (this->current)
+        for (const auto& place : this->current->partitions)
+            disks.insert(place.owner_disk);
+    return std::max<std::size_t>(disks.size(), 1);
+}
+
 bool placement_agent::emptied() const
 {
     if (!this->current)
--- a/source/batches/placement_agent.hpp
+++ b/source/batches/placement_agent.hpp
@@ -40,6 +40,9 @@
     /// @brief The owner of a job's partition on this host, or null.
     std::shared_ptr<partition_owner> owner_of(std::string_view job) const;
 
+    /// @brief The number of disks that own partitions; at least 1.
+    std::size_t owner_count() const;
+
     /// @brief All partitions that this host owns.
     const std::map<std::size_t, std::shared_ptr<partition_owner>>& owned() const
     {
--- a/source/core/endpoints/endpoint_table.cpp
+++ b/source/core/endpoints/endpoint_table.cpp
@@ -227,19 +227,31 @@
     return this->choice_of(chosen, service);
 }
 
+double endpoint_table::usable_for_batch(const candidate& each,
+                                        batch_allowance allowance)
+{
+    double slots = each.record->info.slots;
+    return std::max(
+        1.0, std::min(slots - allowance.reserve, slots * allowance.share));
+}
+
+double endpoint_table::free_for_batch(std::string_view service,
+                                      batch_allowance allowance,
+                                      instant now) const
+{
+    double free = 0;
+    for (const auto& each : this->candidates(service, {}, now))
+        free += std::max(0.0, usable_for_batch(each, allowance) - each.total);
+    return free;
+}
+
 choice endpoint_table::choose_batch(std::string_view service,
                                     batch_allowance allowance, instant now,
                                     double uniform) const
 {
     auto from = this->candidates(service, {}, now);
-    auto usable = [&](const candidate& each)
-    {
-        double slots = each.record->info.slots;
-        return std::max(1.0, std::min(slots - allowance.reserve,
-                                      slots * allowance.share));
-    };
     std::erase_if(from, [&](const candidate& each)
-                  { return each.total >= usable(each); });
+                  { return each.total >= usable_for_batch(each, allowance); });
     const candidate* chosen = nullptr;
     if (this->peer_hosts.follows_lead())
         chosen = draw(from, &candidate::total, uniform);
--- a/source/core/endpoints/endpoint_table.hpp
+++ b/source/core/endpoints/endpoint_table.hpp
@@ -115,6 +115,11 @@
     choice choose_batch(std::string_view service, batch_allowance allowance,
                         instant now, double uniform) const;
 
+    /// @brief Returns how many slots batch requests may still take, of all
+    /// endpoints of a service.
+    double free_for_batch(std::string_view service, batch_allowance allowance,
+                          instant now) const;
+
     /// @brief Records the start of a request.
     run_key begin(std::string_view endpoint, load_kind kind, instant now);
 
@@ -170,6 +175,8 @@
         int distance = 0;
     };
 
+    static double usable_for_batch(const candidate& each,
+                                   batch_allowance allowance);
     std::vector<candidate> candidates(std::string_view service,
                                       std::span<const std::string> excluded,
                                       instant now) const;
--- a/source/core/peers/peer_table.cpp
+++ b/source/core/peers/peer_table.cpp
@@ -159,6 +159,7 @@
             sum.batch -= std::min(sum.batch, own.batch);
         }
     this->following = true;
+    this->view_count++;
     return true;
 }
 
--- a/source/core/peers/peer_table.hpp
+++ b/source/core/peers/peer_table.hpp
@@ -146,6 +146,9 @@
     /// @brief True while the loads come from the lead of the zone.
     bool follows_lead() const { return this->following; }
 
+    /// @brief A number that changes with each message of the lead.
+    std::uint64_t view_number() const { return this->view_count; }
+
     /// @brief Sum of the tokens of unfinished batch items that other live hosts
     /// own on a route.
     std::uint64_t backlog_tokens(std::uint64_t route, instant now) const;
@@ -198,6 +201,7 @@
     std::set<std::string, std::less<>> partner_disks;
     fleet_view view;
     bool following = false;
+    std::uint64_t view_count = 0;
     /// Own reports to the relays, oldest first, as far as a lead's sums may
     /// still contain them.
     std::deque<report> reports;
