batches: Start half of a view's free slots, as the next views are blind to them

Cause: a view is about three intervals old; each of the next views showed the same slots as free and they were shared out again.

--- a/source/batches/item_scheduler.cpp
+++ b/source/batches/item_scheduler.cpp
@@ -284,25 +284,17 @@
             return;
 }
 
-// Answers the load at which a crest of online requests ends and hundreds of
-// slots become free: every owner sees all of them and has items for all. On a
-// view that many hosts share, each takes its share; what one leaves over shows
-// in the next view.
 bool item_scheduler::may_start(std::string_view service, core::instant now)
 {
     const auto& peers = this->runtime.peers();
     if (!peers.follows_lead())
         return true;
-    if (this->allowance_view != peers.view_number())
-    {
-        this->allowance_view = peers.view_number();
-        auto free = this->runtime.endpoints().free_for_batch(
-            service, {reserved_slots, 1}, now);
-        this->start_allowance =
-            free / static_cast<double>(this->placement.owner_count()) +
-            host::uniform();
-    }
-    return this->start_allowance >= 1;
+    if (this->share.is_new(peers.view_number()))
+        this->share.begin_view(peers.view_number(),
+                               this->runtime.endpoints().free_for_batch(
+                                   service, {reserved_slots, 1}, now),
+                               this->placement.owner_count(), host::uniform());
+    return this->share.may_start();
 }
 
 bool item_scheduler::start_item(const candidate& next, core::instant now)
@@ -326,7 +318,7 @@
         *this, next.job, next.item, job.items[next.item], job.authority,
         *chosen.chosen, patience);
     this->runs.push_back(run);
-    this->start_allowance -= 1;
+    this->share.on_start();
     run->start();
     return true;
 }
@@ -341,8 +333,7 @@
     {
     case item_run::run_state::complete:
     {
-        // The slot that has become free is this host's to use again.
-        this->start_allowance += 1;
+        this->share.on_complete();
         const auto* log = this->jobs.find(run->job());
         const auto* route = log == nullptr || log->submitted() == nullptr
                                 ? nullptr
--- a/source/batches/item_scheduler.hpp
+++ b/source/batches/item_scheduler.hpp
@@ -9,6 +9,7 @@
 #include "batches/placement_agent.hpp"
 #include "core/batches/item_order.hpp"
 #include "core/batches/item_progress.hpp"
+#include "core/batches/start_share.hpp"
 #include "core/routes/route_table.hpp"
 #include "forward/header_names.hpp"
 #include "host/host_runtime.hpp"
@@ -118,8 +119,7 @@
     batches::open_items progress;
     std::vector<std::shared_ptr<item_run>> runs;
     /// Runs that this host may still start on the present view of the loads.
-    double start_allowance = 0;
-    std::uint64_t allowance_view = 0;
+    core::batches::start_share share;
     /// When runs were last interrupted at an endpoint.
     std::map<std::string, core::instant> preempted_at;
     /// Mean time in milliseconds for which an item holds a slot, by route.
