--- a/source/batches/placement_agent.cpp
+++ b/source/batches/placement_agent.cpp
@@ -26,6 +26,10 @@
 // Wait before the first placement is proposed, so that all hosts are
 // discovered; they start within a third of a second of each other.
 constexpr core::milliseconds discovery_time{1500};
+// Longest wait for registered hosts whose beacons haven't arrived. In a large
+// fleet beacons between disks are seldom, and each copy that is placed before
+// all disks are known is moved later, by a write that every disk's host reads.
+constexpr core::milliseconds longest_discovery{4000};
 // The hosts of the third and later copies of a partition wait this much longer
 // than the others before they take it over from an unresponsive owner, so that
 // two hosts seldom try at once.
@@ -237,10 +241,26 @@
     }
 }
 
+bool placement_agent::all_disks_heard() const
+{
+    auto now = host::boot_now();
+    const auto& peers = this->runtime.peers();
+    return std::all_of(peers.all().begin(), peers.all().end(),
+                       [&](const auto& named)
+                       {
+                           const auto& peer = named.second;
+                           return peer.disk.empty() || !peer.registered ||
+                                  peers.alive(peer, now);
+                       });
+}
+
 void placement_agent::propose_initial()
 {
     const auto& mirror = this->runtime.mirror_of(host::mirrored_part::placement);
-    bool discovery_done = host::boot_now() - this->started > discovery_time;
+    auto elapsed = host::boot_now() - this->started;
+    bool discovery_done =
+        elapsed > longest_discovery ||
+        (elapsed > discovery_time && this->all_disks_heard());
     if (mirror.as_of() == 0 || !discovery_done || this->committing)
         return;
     auto hosts = this->disk_hosts();
--- a/source/batches/placement_agent.hpp
+++ b/source/batches/placement_agent.hpp
@@ -78,6 +78,7 @@
         core::batches::copy_move move;
     };
 
+    bool all_disks_heard() const;
     void read_placement();
     void set_partner_disks();
     void update_owners();
--- a/source/host/host_runtime.hpp
+++ b/source/host/host_runtime.hpp
@@ -81,6 +81,7 @@
 
     const store::mirror& mirror_of(mirrored_part part) const;
     core::peers::peer_table& peers() { return this->peer_hosts; }
+    const core::peers::peer_table& peers() const { return this->peer_hosts; }
     core::endpoints::endpoint_table& endpoints() { return this->table; }
     const host_settings& settings() const { return this->current_settings; }
     /// @brief The key of the placement of the jobs' partitions.
