store: Pause watches by the number of entries

Cause (platform test "store away, restarted entry, learns from others", failed once in its first run after the registrations became a part of their own): the reader paused 300 ms after it saw its own registration, the store went away meanwhile, and it never learned of the other entry, which had nobody else to ask.

Change: the pause is 1 ms per entry: none to speak of in a small fleet, 300 ms at the size that it is for.

--- a/source/batches/item_scheduler.cpp
+++ b/source/batches/item_scheduler.cpp
@@ -198,10 +198,10 @@
 {
     core::milliseconds due(submitted_ms + route.completion_target.count());
     auto mean = this->mean_work.find(route.name);
-    auto work = mean == this->mean_work.end()
-                    ? route.completion_target / initial_work_divisor
-                    : core::milliseconds(
-                          static_cast<std::int64_t>(mean->second));
+    auto work =
+        mean == this->mean_work.end()
+            ? route.completion_target / initial_work_divisor
+            : core::milliseconds(static_cast<std::int64_t>(mean->second));
     return {due - core::milliseconds(host::wall_now_ms()),
             std::max(work - held, work / least_work_divisor)};
 }
@@ -241,9 +241,9 @@
         }
         if (now < state.retry_at)
             continue;
-        out.push_back({job.id, item, route,
-                       this->demand(*route, job.submitted_ms,
-                                    state.held_slot)});
+        out.push_back(
+            {job.id, item, route,
+             this->demand(*route, job.submitted_ms, state.held_slot)});
     }
     for (auto item : expired_items)
         this->give_up(job.id, item,
@@ -314,9 +314,9 @@
     state.running = true;
     // Where every endpoint is slow but sound, an item gets its time in the end.
     auto patience = 1 << std::min(state.stalls, most_patience_doublings);
-    auto run = std::make_shared<item_run>(
-        *this, next.job, next.item, job.items[next.item], job.authority,
-        *chosen.chosen, patience);
+    auto run = std::make_shared<item_run>(*this, next.job, next.item,
+                                          job.items[next.item], job.authority,
+                                          *chosen.chosen, patience);
     this->runs.push_back(run);
     this->share.on_start();
     run->start();
--- a/source/batches/item_scheduler.hpp
+++ b/source/batches/item_scheduler.hpp
@@ -96,8 +96,7 @@
     core::batches::item_demand demand(const core::routes::route& route,
                                       std::int64_t submitted_ms,
                                       core::milliseconds held) const;
-    void record_work(const core::routes::route& route,
-                     core::milliseconds held);
+    void record_work(const core::routes::route& route, core::milliseconds held);
     void start_items();
     std::vector<candidate> candidates(core::instant now);
     void add_candidates(const core::batches::job_log& log, core::instant now,
--- a/source/batches/placement_agent.cpp
+++ b/source/batches/placement_agent.cpp
@@ -175,8 +175,8 @@
 
 void placement_agent::read_placement()
 {
-    const auto* found =
-        this->runtime.mirror_of(host::mirrored_part::placement).find(this->key());
+    const auto* found = this->runtime.mirror_of(host::mirrored_part::placement)
+                            .find(this->key());
     if (found == nullptr || found->revision <= this->revision)
         return;
     auto parsed = parse_placement(found->value);
@@ -256,11 +256,11 @@
 
 void placement_agent::propose_initial()
 {
-    const auto& mirror = this->runtime.mirror_of(host::mirrored_part::placement);
+    const auto& mirror =
+        this->runtime.mirror_of(host::mirrored_part::placement);
     auto elapsed = host::boot_now() - this->started;
-    bool discovery_done =
-        elapsed > longest_discovery ||
-        (elapsed > discovery_time && this->all_disks_heard());
+    bool discovery_done = elapsed > longest_discovery ||
+                          (elapsed > discovery_time && this->all_disks_heard());
     if (mirror.as_of() == 0 || !discovery_done || this->committing)
         return;
     auto hosts = this->disk_hosts();
--- a/source/core/batches/start_share.hpp
+++ b/source/core/batches/start_share.hpp
@@ -18,14 +18,14 @@
     /// @brief Begins a view with so many free slots; does nothing where the
     /// view is still the same. The fraction of a share is rounded at random:
     /// uniform lies in [0, 1).
-    void begin_view(std::uint64_t number, double free_slots,
-                    std::size_t owners, double uniform);
+    void begin_view(std::uint64_t number, double free_slots, std::size_t owners,
+                    double uniform);
 
     bool may_start() const { return this->runs_left >= 1; }
     void on_start() { this->runs_left -= 1; }
 
-    /// @brief Records that a run has ended by itself: its slot is free, and only
-    /// this owner knows it yet.
+    /// @brief Records that a run has ended by itself: its slot is free, and
+    /// only this owner knows it yet.
     void on_complete() { this->runs_left += 1; }
 
     /// @brief True where a view hasn't been begun yet.
--- a/source/core/endpoints/endpoint_table.cpp
+++ b/source/core/endpoints/endpoint_table.cpp
@@ -125,8 +125,7 @@
             continue;
         auto peer_load = this->peer_hosts.load(record.id_hash);
         double online = record.online + peer_load.online;
-        out.push_back({&record, online,
-                       online + record.batch + peer_load.batch,
+        out.push_back({&record, online, online + record.batch + peer_load.batch,
                        this->distance(record)});
     }
     return out;
@@ -188,7 +187,8 @@
         else
             cost += queue_cost + per_queued_cost * (each.online - slots);
         // Ties are broken at random, so that hosts choose different endpoints.
-        cost += jitter * static_cast<double>((each.record->id_hash ^ salt) % 101) / 100;
+        cost += jitter *
+                static_cast<double>((each.record->id_hash ^ salt) % 101) / 100;
         if (best != nullptr && cost >= best_cost)
             continue;
         best_cost = cost;
--- a/source/core/peers/peer_table.cpp
+++ b/source/core/peers/peer_table.cpp
@@ -432,9 +432,8 @@
 
 bool peer_table::alive(const peer& other, instant now) const
 {
-    auto timeout =
-        std::max(this->bounds.alive_timeout,
-                 other.next_within * missed_beacons + beacon_delay);
+    auto timeout = std::max(this->bounds.alive_timeout,
+                            other.next_within * missed_beacons + beacon_delay);
     return other.last_received > instant::zero() &&
            now - other.last_received <= timeout;
 }
@@ -452,8 +451,7 @@
 {
     const auto& loads = this->following ? this->view.loads : this->sums;
     auto found = loads.find(endpoint);
-    return found == loads.end() ? endpoint_load{endpoint, 0, 0}
-                                : found->second;
+    return found == loads.end() ? endpoint_load{endpoint, 0, 0} : found->second;
 }
 
 std::uint64_t peer_table::backlog_tokens(std::uint64_t route, instant now) const
--- a/source/forward/event_splitter.cpp
+++ b/source/forward/event_splitter.cpp
@@ -32,8 +32,8 @@
                         ? this->incomplete.size() - end_overlap_bytes
                         : 0;
     this->incomplete += bytes;
-    auto end = end_of_last_event(
-        std::string_view(this->incomplete).substr(searched));
+    auto end =
+        end_of_last_event(std::string_view(this->incomplete).substr(searched));
     end += end > 0 ? searched : 0;
     std::string complete = this->incomplete.substr(0, end);
     this->incomplete.erase(0, end);
@@ -49,8 +49,7 @@
 bool has_data(std::string_view events)
 {
     constexpr std::string_view field = "data:";
-    return events.starts_with(field) ||
-           events.find("\ndata:") != events.npos;
+    return events.starts_with(field) || events.find("\ndata:") != events.npos;
 }
 
 void event_splitter::record_last_id(std::string_view events)
--- a/source/host/host_runtime.cpp
+++ b/source/host/host_runtime.cpp
@@ -36,9 +36,9 @@
 // Time between two fetches of a peer's copy, per host of the zone: the host
 // that reads for it serves at most 100 a second for each part.
 constexpr core::milliseconds pull_interval_per_host{10};
-// Registrations change all at once when many hosts start; they are read again
-// at most this often.
-constexpr core::milliseconds hosts_watch_pause{300};
+// Registrations change all at once when many hosts start. 300 of them are read
+// again at most three times a second, a few at once.
+constexpr core::milliseconds hosts_pause_per_entry{1};
 // After an outage of the store, endpoints write their expired entries again
 // within two seconds; mirrors retain these entries slightly longer.
 constexpr core::milliseconds expiry_grace{2300};
@@ -117,7 +117,7 @@
                 watch_wait,
                 {},
                 {},
-                hosts_watch_pause});
+                hosts_pause_per_entry});
     add_mirror({this->placement_key(),
                 store::mirror_mode::watch,
                 watch_wait,
--- a/source/host/registration.cpp
+++ b/source/host/registration.cpp
@@ -11,12 +11,9 @@
 
 std::string pack_registration(const core::peers::peer& self)
 {
-    return json{{"address", self.address},
-                {"zone", self.zone},
-                {"region", self.region},
-                {"disk", self.disk},
-                {"capacity", self.capacity},
-                {"incarnation", self.incarnation}}
+    return json{{"address", self.address},   {"zone", self.zone},
+                {"region", self.region},     {"disk", self.disk},
+                {"capacity", self.capacity}, {"incarnation", self.incarnation}}
         .dump();
 }
 
--- a/source/http/async_client.cpp
+++ b/source/http/async_client.cpp
@@ -160,8 +160,8 @@
     if (this->closed || steady::now() >= this->usable_until)
         return false;
     char byte = 0;
-    auto count = recv(this->socket.native_handle(), &byte, 1,
-                      MSG_PEEK | MSG_DONTWAIT);
+    auto count =
+        recv(this->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     if (count > 0)
         this->owner->counts.surplus_bytes++;
     return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
@@ -327,9 +327,8 @@
         int status = static_cast<int>(this->reading->get().result_int());
         // The listener may cancel the call, which drops this reference to it.
         auto receiver = this->listener;
-        this->skipping =
-            status < first_final_status ||
-            !receiver->on_head(status, this->parsed_headers());
+        this->skipping = status < first_final_status ||
+                         !receiver->on_head(status, this->parsed_headers());
         this->skipped += this->skipping ? 1 : 0;
         if (this->skipping)
             this->owner->counts.skipped_responses++;
--- a/source/http/async_server.cpp
+++ b/source/http/async_server.cpp
@@ -220,9 +220,9 @@
     this->fresh = false;
     this->owner->in_flight++;
     this->watch_peer();
-    bool handled = errors::contain(
-        "handle a request",
-        [this] { this->owner->handle(this->shared_from_this()); });
+    bool handled =
+        errors::contain("handle a request", [this]
+                        { this->owner->handle(this->shared_from_this()); });
     if (!handled)
         this->fail();
 }
@@ -527,8 +527,7 @@
 
 bool async_server::busy() const
 {
-    return std::any_of(this->held->sessions.begin(),
-                       this->held->sessions.end(),
+    return std::any_of(this->held->sessions.begin(), this->held->sessions.end(),
                        [](const session* open) { return open->busy(); });
 }
 
--- a/source/http/server.cpp
+++ b/source/http/server.cpp
@@ -84,8 +84,8 @@
                                     { disconnected->store(true); });
         });
     response result;
-    bool handled = errors::contain("handle a request", [&]
-                                   { result = this->handle(received); });
+    bool handled = errors::contain("handle a request",
+                                   [&] { result = this->handle(received); });
     if (!handled)
     {
         result = {};
--- a/source/peers/beacon_socket.cpp
+++ b/source/peers/beacon_socket.cpp
@@ -104,8 +104,10 @@
                 return;
             if (!error)
                 errors::contain(
-                    "handle a beacon", [&]
-                    { this->handle_datagram({this->buffer.data(), count}); });
+                    "handle a beacon",
+                    [&] {
+                        this->handle_datagram({this->buffer.data(), count});
+                    });
             this->receive();
         });
 }
@@ -224,12 +226,11 @@
 void beacon_socket::send_to_disks(const core::peers::beacon& beacon,
                                   core::instant now)
 {
-    auto others = std::count_if(this->peers.all().begin(),
-                                this->peers.all().end(), [](const auto& named)
-                                { return !named.second.disk.empty(); });
-    auto disks_interval =
-        std::max(partner_interval,
-                 disk_interval_per_host * static_cast<int>(others));
+    auto others = std::count_if(
+        this->peers.all().begin(), this->peers.all().end(),
+        [](const auto& named) { return !named.second.disk.empty(); });
+    auto disks_interval = std::max(
+        partner_interval, disk_interval_per_host * static_cast<int>(others));
     bool to_partners = now - this->last_partners_sent >= partner_interval;
     bool to_all = now - this->last_disks_sent >= disks_interval;
     if (!to_partners && !to_all)
@@ -272,8 +273,8 @@
     auto bytes = pack(beacon);
     for (const auto& [name, peer] : this->peers.all())
         if (peer.zone == this->identity.zone)
-            this->send_to(peer, with_included(
-                                    peer.loads.empty() ? 0 : peer.loads_sent_ms,
+            this->send_to(
+                peer, with_included(peer.loads.empty() ? 0 : peer.loads_sent_ms,
                                     bytes));
 }
 
--- a/source/peers/packing.cpp
+++ b/source/peers/packing.cpp
@@ -155,9 +155,8 @@
     beacon.region = packed->region;
     beacon.disk = packed->disk;
     beacon.capacity = packed->capacity;
-    beacon.next_within =
-        std::clamp(core::milliseconds(packed->next_within_ms),
-                   core::milliseconds(0), longest_interval);
+    beacon.next_within = std::clamp(core::milliseconds(packed->next_within_ms),
+                                    core::milliseconds(0), longest_interval);
     beacon.leaving = packed->leaving;
     beacon.store_unreachable = packed->store_unreachable;
     beacon.included_ms = included_ms;
--- a/source/routing/claim_client.hpp
+++ b/source/routing/claim_client.hpp
@@ -40,8 +40,8 @@
     /// @brief Claims a key; only after granted may the request be sent.
     claim_result claim(const std::string& key);
 
-    /// @brief The store's key for a request's key, which also names the claim in
-    /// log lines.
+    /// @brief The store's key for a request's key, which also names the claim
+    /// in log lines.
     static std::string store_key(const std::string& key);
 
     /// @brief Gives a claim back under which no byte was sent.
--- a/source/store/mirror.cpp
+++ b/source/store/mirror.cpp
@@ -117,8 +117,10 @@
     this->as_of_revision = std::max(this->as_of_revision, changes.revision);
     if (changed)
         this->report_change();
-    if (changed && this->options.watch_pause.count() > 0)
-        return this->schedule(this->options.watch_pause);
+    auto pause = this->options.watch_pause_per_entry *
+                 static_cast<int>(this->current_entries.size());
+    if (changed && pause.count() > 0)
+        return this->schedule(pause);
     this->watch();
 }
 
--- a/source/store/mirror.hpp
+++ b/source/store/mirror.hpp
@@ -33,9 +33,9 @@
     core::milliseconds removal_grace{};
     /// Shortest outage in which entries can expire.
     core::milliseconds min_expiry_outage{};
-    /// Pause between a change and the next watch call, so that many changes at
-    /// one time, as when all hosts register, take few calls.
-    core::milliseconds watch_pause{};
+    /// Pause between a change and the next watch call, per entry: many changes
+    /// at one time, as when all hosts register, then take few calls.
+    core::milliseconds watch_pause_per_entry{};
 };
 
 /// @brief A local copy of the entries with one key prefix. Its revision never
--- a/tests/core/client_faults_test.cpp
+++ b/tests/core/client_faults_test.cpp
@@ -43,9 +43,9 @@
 struct paused_client
 {
     paused_client()
-        : acceptor(peer_loop,
-                   tcp::endpoint(
-                       boost::asio::ip::make_address_v4("127.0.0.1"), 0))
+        : acceptor(
+              peer_loop,
+              tcp::endpoint(boost::asio::ip::make_address_v4("127.0.0.1"), 0))
     {
     }
 
@@ -148,10 +148,9 @@
     {"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
     {"a chunk's extension",
      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;a=", "b"},
-    {"a chunk's size",
-     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
-    {"trailers",
-     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+    {"a chunk's size", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+     "0"},
+    {"trailers", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
      "X-A: 1\r\n"},
     {"a body that ends with the connection", "HTTP/1.1 200 OK\r\n\r\n", "c"},
     {"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
@@ -169,9 +168,8 @@
     this->start(20ms);
     std::this_thread::sleep_for(60ms);
     this->run_loop(60ms);
-    bool told_not_sent =
-        this->listener->ended &&
-        this->listener->result == http::call_end::not_sent;
+    bool told_not_sent = this->listener->ended &&
+                         this->listener->result == http::call_end::not_sent;
     auto written = this->bytes_at_peer();
     INFO("written " << written << ", detail " << this->listener->detail);
     CHECK((!told_not_sent || written == 0));
@@ -192,8 +190,7 @@
             http::client_request outgoing;
             outgoing.target = "/x";
             outgoing.body_limit = 1u << 20;
-            auto call =
-                client.start("key", peer.address(), outgoing, listener);
+            auto call = client.start("key", peer.address(), outgoing, listener);
             auto end = std::chrono::steady_clock::now() + 3s;
             while (!listener->ended && std::chrono::steady_clock::now() < end)
             {
@@ -222,7 +219,8 @@
 // What arrives on a connection after a complete answer, before the next request
 // is written.
 const late_copy_row late_copies[] = {
-    {"the whole answer again", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst"},
+    {"the whole answer again",
+     "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst"},
     {"the answer's head", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"},
     {"half a status line", "HTTP/1.1 2"},
     {"bytes that are no answer", "\r\n\r\n"},
@@ -242,12 +240,11 @@
             boost::asio::io_context loop;
             boost::asio::io_context peer_loop;
             tcp::acceptor acceptor(
-                peer_loop, tcp::endpoint(boost::asio::ip::make_address_v4(
-                                             "127.0.0.1"),
-                                         0));
+                peer_loop,
+                tcp::endpoint(boost::asio::ip::make_address_v4("127.0.0.1"),
+                              0));
             auto address =
-                "127.0.0.1:" +
-                std::to_string(acceptor.local_endpoint().port());
+                "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
             std::atomic<bool> copied{false};
             std::thread peer(
                 [&]
--- a/tests/core/contain_test.cpp
+++ b/tests/core/contain_test.cpp
@@ -27,8 +27,7 @@
 {
     boost::asio::io_context loop;
     tcp::acceptor probe(
-        loop,
-        tcp::endpoint(boost::asio::ip::make_address_v4("127.0.0.1"), 0));
+        loop, tcp::endpoint(boost::asio::ip::make_address_v4("127.0.0.1"), 0));
     return "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
 }
 
--- a/tests/core/item_order_test.cpp
+++ b/tests/core/item_order_test.cpp
@@ -72,8 +72,9 @@
         auto last = static_cast<int>(this->load.size());
         for (int second = 0; second < last + drain_seconds; second++)
         {
-            auto row = second < last ? this->load[second]
-                                     : second_of_load{0, this->load.back().slots};
+            auto row = second < last
+                           ? this->load[second]
+                           : second_of_load{0, this->load.back().slots};
             for (int step = 0; step < steps_per_second; step++)
             {
                 auto arriving = row.items * (step + 1) / steps_per_second -
@@ -101,11 +102,10 @@
         for (int number = 0; number < count; number++)
         {
             auto needed = std::clamp(work(this->random), 1500.0, 9000.0);
-            this->items.push_back(
-                {this->now + 18000ms,
-                 core::milliseconds(static_cast<int>(needed)),
-                 {},
-                 false});
+            this->items.push_back({this->now + 18000ms,
+                                   core::milliseconds(static_cast<int>(needed)),
+                                   {},
+                                   false});
             this->result.total++;
         }
     }
@@ -118,10 +118,11 @@
 
     void step(int slots)
     {
-        std::stable_sort(
-            this->items.begin(), this->items.end(),
-            [this](const item& left, const item& right)
-            { return this->before(this->demand_of(left), this->demand_of(right)); });
+        std::stable_sort(this->items.begin(), this->items.end(),
+                         [this](const item& left, const item& right) {
+                             return this->before(this->demand_of(left),
+                                                 this->demand_of(right));
+                         });
         auto running = static_cast<int>(
             std::count_if(this->items.begin(), this->items.end(),
                           [](const item& each) { return each.running; }));
--- a/tests/core/server_stop_test.cpp
+++ b/tests/core/server_stop_test.cpp
@@ -30,8 +30,7 @@
         this->endpoint = probe.local_endpoint();
         probe.close();
         this->server = std::make_unique<http::async_server>(
-            this->loop,
-            "127.0.0.1:" + std::to_string(this->endpoint.port()),
+            this->loop, "127.0.0.1:" + std::to_string(this->endpoint.port()),
             [] { return http::server_limits(); },
             [this](const std::shared_ptr<http::server_exchange>& exchange)
             {
--- a/tests/core/shell_io_test.cpp
+++ b/tests/core/shell_io_test.cpp
@@ -424,8 +424,8 @@
     sent.loads = {{42, 3, 1}};
     for (std::int64_t included : {0ll, 7ll, 123456789ll, 1ll << 40})
     {
-        auto read =
-            peers::unpack_beacon(peers::with_included(included, peers::pack(sent)));
+        auto read = peers::unpack_beacon(
+            peers::with_included(included, peers::pack(sent)));
         REQUIRE(read);
         CHECK(read->included_ms == included);
         CHECK(read->loads.size() == 1);
--- a/tests/core/start_share_test.cpp
+++ b/tests/core/start_share_test.cpp
@@ -70,14 +70,13 @@
         if (history.size() > view_age_steps + 1)
             history.pop_front();
         const auto& [seen_online, seen_running] = history.front();
-        int seen_total =
-            seen_online +
-            std::accumulate(seen_running.begin(), seen_running.end(), 0);
+        int seen_total = seen_online + std::accumulate(seen_running.begin(),
+                                                       seen_running.end(), 0);
         for (std::size_t owner = 0; owner < owner_count; owner++)
         {
             // An owner knows its own runs as they are now.
-            int free = slots - (seen_total - seen_running[owner] +
-                                running[owner]);
+            int free =
+                slots - (seen_total - seen_running[owner] + running[owner]);
             shares[owner].begin_view(step + 1, std::max(0, free), owner_count,
                                      uniform(random));
             while (free > 0 && (!shared || shares[owner].may_start()))
--- a/tests/platform/online_path_test.cpp
+++ b/tests/platform/online_path_test.cpp
@@ -122,8 +122,7 @@
             // A worker that failed in several rows is avoided for seconds.
             auto probe = id + "-before";
             REQUIRE(fleet::eventually(
-                [&]
-                {
+                [&] {
                     return this->fleet.call(0, "POST", "/again/x", probe, "b")
                                .status == 200;
                 },
--- a/tests/standins/standin_service.cpp
+++ b/tests/standins/standin_service.cpp
@@ -31,12 +31,12 @@
             std::string key(asked.headers.get("Idempotency-Key"));
             ++this->runs[key];
             // Kept in the log of a failing test, beside the callers' logs.
-            std::clog << "run key=" << key << " wall_ms="
-                      << std::chrono::duration_cast<std::chrono::milliseconds>(
-                             std::chrono::system_clock::now()
-                                 .time_since_epoch())
-                             .count()
-                      << std::endl;
+            std::clog
+                << "run key=" << key << " wall_ms="
+                << std::chrono::duration_cast<std::chrono::milliseconds>(
+                       std::chrono::system_clock::now().time_since_epoch())
+                       .count()
+                << std::endl;
             ++this->total;
             slow = this->slow_ms;
             lose = this->lose_answers > 0;
