http: Read an answer whose head comes alone

Where the body was in the same read the error was passed over; where a read ended exactly behind the head, the answer was called broken.

Ruled out: two fixtures on one metrics port (the reply had status 200 and the right process's head).

Change: the request's body limit is given to the parser, which also ends a call at its head where the announced length is over it, before memory is reserved.

Before: "client, response split anywhere, is complete" fails at the head's end each time; after: passes.

--- a/source/http/async_client.cpp
+++ b/source/http/async_client.cpp
@@ -189,7 +189,7 @@
     this->reading = std::make_unique<parser>();
     this->reading->eager(true);
     this->reading->header_limit(head_limit_bytes);
-    this->reading->body_limit(boost::none);
+    this->reading->body_limit(this->body_limit);
     if (this->method == "HEAD")
         this->reading->skip(true);
     this->head_delivered = false;
--- a/tests/core/client_faults_test.cpp
+++ b/tests/core/client_faults_test.cpp
@@ -313,3 +313,90 @@
         }
     }
 }
+
+namespace
+{
+
+/// @brief A peer that sends a response in two parts with a pause between.
+class halting_peer
+{
+public:
+    halting_peer(std::string first, std::string second)
+        : acceptor(loop, tcp::endpoint(
+                             boost::asio::ip::make_address_v4("127.0.0.1"), 0)),
+          thread([this, first, second] { this->run(first, second); })
+    {
+    }
+    ~halting_peer() { this->thread.join(); }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" +
+               std::to_string(this->acceptor.local_endpoint().port());
+    }
+
+private:
+    void run(const std::string& first, const std::string& second)
+    {
+        tcp::socket socket(this->loop);
+        this->acceptor.accept(socket);
+        boost::system::error_code error;
+        boost::asio::streambuf head;
+        boost::asio::read_until(socket, head, "\r\n\r\n", error);
+        boost::asio::write(socket, boost::asio::buffer(first), error);
+        std::this_thread::sleep_for(60ms);
+        boost::asio::write(socket, boost::asio::buffer(second), error);
+    }
+
+    boost::asio::io_context loop;
+    tcp::acceptor acceptor;
+    std::thread thread;
+};
+
+std::shared_ptr<ending_listener> perform_at(const std::string& address)
+{
+    boost::asio::io_context loop;
+    http::async_client client(loop);
+    auto listener = std::make_shared<ending_listener>();
+    http::client_request outgoing;
+    outgoing.target = "/x";
+    auto call = client.start("key", address, outgoing, listener);
+    auto end = std::chrono::steady_clock::now() + 2s;
+    while (!listener->ended && std::chrono::steady_clock::now() < end)
+    {
+        loop.restart();
+        loop.run_for(5ms);
+    }
+    call->cancel();
+    return listener;
+}
+
+} // namespace
+
+// Many servers write the head and the body one after the other.
+TEST_CASE("client, response split anywhere, is complete")
+{
+    const std::string response =
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
+    const auto head_end = response.size() - 5;
+    for (auto at : {std::size_t{1}, std::size_t{15}, head_end - 2, head_end - 1,
+                    head_end, head_end + 1, response.size() - 1})
+    {
+        halting_peer peer(response.substr(0, at), response.substr(at));
+        auto listener = perform_at(peer.address());
+        INFO("split at " << at << ": " << listener->detail);
+        CHECK(listener->result == http::call_end::complete);
+        CHECK(listener->body_bytes == 5);
+    }
+}
+
+// Memory for a body is reserved by its announced length.
+TEST_CASE("client, announced body over the limit, ends the call at its head")
+{
+    halting_peer peer(
+        "HTTP/1.1 200 OK\r\nContent-Length: 90000000000000\r\n\r\n", "x");
+    auto listener = perform_at(peer.address());
+    CHECK(listener->ended);
+    CHECK(listener->result == http::call_end::broken);
+    CHECK(listener->body_bytes == 0);
+}
--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -445,7 +445,13 @@
 double metric(const node& target, const std::string& family,
               const std::string& label)
 {
-    std::istringstream text(get(target.metrics, "/metrics").body);
+    auto reply = get(target.metrics, "/metrics");
+    // A reading that failed must not pass for a counter of 0.
+    if (reply.reached != http::progress::answered || reply.status != 200)
+        throw errors::failure("read metrics", target.metrics,
+                              "status " + std::to_string(reply.status) + ", " +
+                                  reply.detail);
+    std::istringstream text(reply.body);
     double sum = 0;
     for (std::string line; std::getline(text, line);)
     {
