--- a/source/core/peers/peer_table.cpp
+++ b/source/core/peers/peer_table.cpp
@@ -139,30 +139,35 @@
     if (this->leads_zone(now) || !present_lead)
         return true;
     this->view.lead = message.name;
-    this->view.incarnation = message.incarnation;
-    this->view.sent_ms = message.sent_ms;
     this->view.last_received = now;
     this->view.loads.clear();
     for (const auto& load : message.loads)
         this->view.loads[load.endpoint] = load;
-    while (!this->reports.empty() &&
-           this->reports.front().sent_ms < message.included_ms)
-        this->reports.pop_front();
-    // The sums contain this host's loads as of that report, not as of now.
-    bool included = !this->reports.empty() &&
-                    this->reports.front().sent_ms == message.included_ms;
-    if (included)
-        for (const auto& own : this->reports.front().loads)
-        {
-            auto& sum = this->view.loads[own.endpoint];
-            sum.online -= std::min(sum.online, own.online);
-            sum.batch -= std::min(sum.batch, own.batch);
-        }
+    this->remove_included(message.included_ms);
     this->following = true;
     this->view_count++;
     return true;
 }
 
+// The sums contain this host's loads as of the report that they name, not as of
+// now. Older reports are no longer needed.
+void peer_table::remove_included(std::int64_t included_ms)
+{
+    while (!this->reports.empty() &&
+           this->reports.front().sent_ms < included_ms)
+        this->reports.pop_front();
+    bool included =
+        !this->reports.empty() && this->reports.front().sent_ms == included_ms;
+    if (!included)
+        return;
+    for (const auto& own : this->reports.front().loads)
+    {
+        auto& sum = this->view.loads[own.endpoint];
+        sum.online -= std::min(sum.online, own.online);
+        sum.batch -= std::min(sum.batch, own.batch);
+    }
+}
+
 // A host that leaves or was silent as a relay has no part in its zone's work.
 bool peer_table::eligible(const peer& other, instant now) const
 {
--- a/source/core/peers/peer_table.hpp
+++ b/source/core/peers/peer_table.hpp
@@ -177,8 +177,6 @@
     struct fleet_view
     {
         std::string lead;
-        std::uint64_t incarnation = 0;
-        std::int64_t sent_ms = 0;
         instant last_received{};
         std::map<std::uint64_t, endpoint_load> loads;
     };
@@ -188,6 +186,7 @@
     bool ranks_before_self(const peer& other) const;
     bool receive_summary(const beacon& message, instant now);
     bool receive_fleet_view(const beacon& message, instant now);
+    void remove_included(std::int64_t included_ms);
     void update_peer(peer& entry, const beacon& message, instant now);
     void add_loads(const std::vector<endpoint_load>& loads, int sign);
 
--- a/source/peers/beacon_socket.cpp
+++ b/source/peers/beacon_socket.cpp
@@ -19,8 +19,8 @@
 namespace
 {
 
-// Zones of more hosts than this use relays: messages from each to each would
-// cost the smallest hosts more than a tenth of their processor.
+// Zones of more hosts than this use relays, as messages from each to each grow
+// with the square of their number.
 constexpr std::size_t direct_zone_size = 16;
 // Shortest interval between beacons to the own zone. An endpoint runs about
 // eight requests of about 700 ms each, so its load changes every 90 ms; a
