tests: Cover a part of a prompt that crashes workers

The stand-in worker has the switches "deadly" and "deadly_after_head": such a run ends all connections of the worker after 30 ms, as the end of its process does, and the worker serves new connections at once. Items of job_body can carry a prompt.

--- a/tests/platform/platform_fleet.cpp
+++ b/tests/platform/platform_fleet.cpp
@@ -240,15 +240,24 @@
 }
 
 std::string platform_fleet::job_body(const std::string& job,
-                                     const std::vector<std::string>& bodies)
+                                     const std::vector<std::string>& bodies,
+                                     const std::string& prompt)
 {
     json items = json::array();
     for (const auto& body : bodies)
-        items.push_back({{"id", job + "-" + std::to_string(items.size())},
+    {
+        auto id = job + "-" + std::to_string(items.size());
+        std::ostringstream own;
+        own << std::hex << std::hash<std::string>()(id);
+        json headers = {{"Model", "m"}};
+        if (!prompt.empty())
+            headers["Prompt-Prefix"] = prompt + "," + own.str() + ":40";
+        items.push_back({{"id", id},
                          {"path", "/jobs/run"},
-                         {"headers", {{"Model", "m"}}},
+                         {"headers", headers},
                          {"body", platform::encode_base64(body)},
                          {"tokens", 10}});
+    }
     return json{{"items", items}}.dump();
 }
 
--- a/tests/platform/platform_fleet.hpp
+++ b/tests/platform/platform_fleet.hpp
@@ -38,8 +38,11 @@
                      const std::vector<http::header>& headers = {}) const;
 
     /// @brief The body that submits a job of items with these bodies.
+    ///
+    /// With a prompt, each item's prompt is these parts and one of its own.
     static std::string job_body(const std::string& job,
-                                const std::vector<std::string>& bodies);
+                                const std::vector<std::string>& bodies,
+                                const std::string& prompt = "");
 
     /// @brief Reads all results; empty where the answer isn't 200.
     nlohmann::json results(std::size_t entry, const std::string& job) const;
--- a/tests/standins/standin_platform_worker.cpp
+++ b/tests/standins/standin_platform_worker.cpp
@@ -1,5 +1,8 @@
+#include <sys/socket.h>
+
 #include <atomic>
 #include <charconv>
+#include <filesystem>
 #include <map>
 #include <mutex>
 #include <thread>
@@ -31,6 +34,12 @@
     /// Answers without a signature whose body never ends.
     int endless_unsigned = 0;
     bool full = false;
+    /// The part of a prompt that crashes the worker; empty: none.
+    std::string deadly;
+    /// Whether the crash comes behind the head of the answer.
+    bool deadly_after_head = false;
+    int deadly_runs = 0;
+    int crashes = 0;
     /// Runs by request id.
     std::map<std::string, int> runs;
     /// What each run was asked with.
@@ -101,6 +110,43 @@
     bool begun = false;
 };
 
+/// @brief Prefills, then closes all connections but the listening socket, as
+/// the end of the process does.
+void crash(worker_state& shared)
+{
+    constexpr std::chrono::milliseconds prefill{30};
+    std::this_thread::sleep_for(prefill);
+    std::lock_guard lock(shared.guard);
+    shared.crashes++;
+    for (const auto& open :
+         std::filesystem::directory_iterator("/proc/self/fd"))
+    {
+        int file = std::stoi(open.path().filename().string());
+        int listening = 0;
+        socklen_t size = sizeof listening;
+        if (getsockopt(file, SOL_SOCKET, SO_ACCEPTCONN, &listening, &size) ==
+                0 &&
+            listening == 0)
+            shutdown(file, SHUT_RDWR);
+    }
+}
+
+/// @brief A body that crashes the worker before its first event.
+class crash_source : public http::body_source
+{
+public:
+    explicit crash_source(worker_state& shared) : shared(shared) {}
+
+    state read(std::string&) override
+    {
+        crash(this->shared);
+        return state::failed;
+    }
+
+private:
+    worker_state& shared;
+};
+
 /// @brief A model worker of the platform, with switches for its failures.
 class platform_worker
 {
@@ -109,7 +155,7 @@
     {
         if (asked.path == "/admin")
             return this->administer(asked);
-        std::lock_guard lock(this->state.guard);
+        std::unique_lock lock(this->state.guard);
         std::string id(asked.headers.get("Request-Id"));
         auto target = asked.headers.get("Target-Instance");
         if (!target.empty() && target != this->state.id)
@@ -120,10 +166,31 @@
             answer.headers.add("Not-Executed", "1");
             return answer;
         }
-        return this->run(asked, id);
+        auto answer = this->run(asked, id);
+        if (!this->contains_deadly(asked.headers.get("Prompt-Prefix")))
+            return answer;
+        this->state.deadly_runs++;
+        if (this->state.deadly_after_head)
+        {
+            answer.stream = std::make_unique<crash_source>(this->state);
+            return answer;
+        }
+        lock.unlock();
+        crash(this->state);
+        return answer;
     }
 
 private:
+    bool contains_deadly(std::string_view prompt) const
+    {
+        auto comma = prompt.rfind(',');
+        if (this->state.deadly.empty() || comma == prompt.npos)
+            return false;
+        auto shared_parts = "," + std::string(prompt.substr(0, comma));
+        return shared_parts.find("," + this->state.deadly + ":") !=
+               shared_parts.npos;
+    }
+
     http::response run(const http::request& asked, const std::string& id)
     {
         this->state.runs[id]++;
@@ -190,10 +257,16 @@
             this->state.endless_unsigned =
                 change.value("endless_unsigned", this->state.endless_unsigned);
             this->state.full = change.value("full", this->state.full);
+            this->state.deadly = change.value("deadly", this->state.deadly);
+            this->state.deadly_after_head = change.value(
+                "deadly_after_head", this->state.deadly_after_head);
         }
-        return standins::json_response(200, {{"runs", this->state.runs},
-                                             {"asked", this->state.asked},
-                                             {"running", this->state.running}});
+        return standins::json_response(
+            200, {{"runs", this->state.runs},
+                  {"asked", this->state.asked},
+                  {"running", this->state.running},
+                  {"deadly_runs", this->state.deadly_runs},
+                  {"crashes", this->state.crashes}});
     }
 
     worker_state state;
