http: Tell a connection that its peer closed from another broken answer

The client reported an endpoint's crash, bytes that are no answer and answers over their limits all as "broken", so that neither logs nor counters could tell a crash from them.

Change: call_end has "closed" for a connection that the peer closed or reset before the whole answer. All that compared with "broken" treats both alike.

Four rows of "client, answers that break off, are told" expect "closed" in place of "broken": their peer closes; the row whose bytes are no answer stays "broken". The check is stricter than before, as the two were one value.

--- a/source/batches/batch_client.cpp
+++ b/source/batches/batch_client.cpp
@@ -84,7 +84,7 @@
         {
             if (response.result == http::call_end::not_sent)
                 return this->retry(pending, job_outcome::unavailable);
-            if (response.result == http::call_end::broken)
+            if (response.result != http::call_end::complete)
                 return pending->done(job_outcome::unknown, {});
             switch (response.status)
             {
--- a/source/batches/item_run.cpp
+++ b/source/batches/item_run.cpp
@@ -137,7 +137,7 @@
         return;
     if (call_result == http::call_end::not_sent)
         return this->finish(run_state::retry, run_outcome::unreachable, detail);
-    if (call_result == http::call_end::broken)
+    if (call_result != http::call_end::complete)
         return this->finish(run_state::retry, run_outcome::broken, detail);
     if (this->not_run)
         return this->finish(run_state::retry,
--- a/source/http/async_client.cpp
+++ b/source/http/async_client.cpp
@@ -384,7 +384,7 @@
             return this->end(call_end::complete, {});
         }
     }
-    this->end(call_end::broken, error.message());
+    this->end(call_end::closed, error.message());
 }
 
 void async_client::connection::end(call_end result, std::string_view detail)
--- a/source/http/async_client.hpp
+++ b/source/http/async_client.hpp
@@ -40,7 +40,9 @@
     /// No connection was established, so no byte can have reached the peer.
     not_sent,
     /// Bytes may have reached the peer, but no complete response was read.
-    broken
+    broken,
+    /// As broken, because the peer closed or reset the connection.
+    closed
 };
 
 /// @brief Receives the events of one call on the event loop's thread.
--- a/source/http/client.cpp
+++ b/source/http/client.cpp
@@ -30,7 +30,7 @@
     void on_end(call_end result, std::string_view detail) override
     {
         constexpr progress reached[] = {progress::answered, progress::not_sent,
-                                        progress::unknown};
+                                        progress::unknown, progress::unknown};
         this->ended = true;
         this->outcome.reached = reached[static_cast<std::size_t>(result)];
         this->outcome.detail = detail;
--- a/tests/core/http_test.cpp
+++ b/tests/core/http_test.cpp
@@ -169,14 +169,14 @@
     };
     auto current_row = GENERATE(
         row{"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok",
-            http::call_end::broken},
+            http::call_end::closed},
         row{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
-            http::call_end::broken},
+            http::call_end::closed},
         row{"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok",
             http::call_end::complete},
-        row{"HTTP/1.1 200 OK\r\nConte", http::call_end::broken},
+        row{"HTTP/1.1 200 OK\r\nConte", http::call_end::closed},
         row{"garbage\r\n\r\n", http::call_end::broken},
-        row{"", http::call_end::broken},
+        row{"", http::call_end::closed},
         row{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
             "0\r\n\r\n",
             http::call_end::complete});
