host: Quarantine parts of prompts that crash endpoints

Cause: a crash was counted against the endpoint alone. No host knew what the endpoint was just beginning when it crashed, nor what other hosts had seen: 8 to 84 hosts each see few of the crashes.

Change: a run that ends by a closed connection before its second event is a report: the endpoint's incarnation and the prompt's shared parts. Beacons carry the reports that changed; their marks only grow, so the order of arrival doesn't matter. An answer to any request with a part clears it. A part that three crashed endpoints have in common is quarantined if nothing clears it in 0.5 s while others are answered; with all endpoints down nothing is. A request is refused (503, at once, Retry-After: what is left of five minutes) only if it has all parts that the crashed ones had in common, and a crash that rarer parts explain doesn't count against a common one. Repeats wait while a request is suspected; items with such a part stay open. What is quarantined is stored beside the registrations under a lease, for the time after all hosts have been killed; the same watch reads both.

--- a/source/batches/item_run.cpp
+++ b/source/batches/item_run.cpp
@@ -29,6 +29,8 @@
 {
     const auto* log = scheduler.jobs.find(this->job_id);
     this->accepted_record = log->records().front();
+    this->prompt = {content.id, chosen.id, chosen.started_ms,
+                    scheduler.shared_parts(content)};
 }
 
 void item_run::start()
@@ -101,6 +103,8 @@
         this->last_event = now;
     auto& progress =
         this->scheduler.progress_of(this->job_id, this->item_number).events;
+    this->scheduler.runtime.quarantine().record_events(this->prompt,
+                                                       complete_events);
     forward::for_each_data(complete_events,
                            [&](std::string_view data)
                            {
@@ -137,6 +141,9 @@
         return;
     if (call_result == http::call_end::not_sent)
         return this->finish(run_state::retry, run_outcome::unreachable, detail);
+    if (call_result == http::call_end::closed)
+        this->ended_at_start =
+            this->scheduler.runtime.quarantine().record_close(this->prompt);
     if (call_result != http::call_end::complete)
         return this->finish(run_state::retry, run_outcome::broken, detail);
     if (this->not_run)
--- a/source/batches/item_run.hpp
+++ b/source/batches/item_run.hpp
@@ -61,6 +61,9 @@
     run_state result() const { return this->state; }
     /// @brief True if the endpoint responded that it didn't run the item.
     bool refused() const { return this->not_run; }
+    /// @brief True if the endpoint closed the connection before it had
+    /// generated anything, as when it crashes.
+    bool closed_at_start() const { return this->ended_at_start; }
     /// @brief True if the run was interrupted as it had stalled.
     bool ended_stalled() const { return this->has_stalled; }
 
@@ -81,6 +84,8 @@
     int patience;
     std::shared_ptr<http::client_call> call;
     core::endpoints::run_key run;
+    /// This run, for the quarantine of prompt parts.
+    host::prompt_run prompt;
     forward::event_splitter events;
     core::instant started{};
     core::instant last_event{};
@@ -88,6 +93,7 @@
     int status = 0;
     bool not_run = false;
     bool has_stalled = false;
+    bool ended_at_start = false;
     run_state state = run_state::running;
     // Owns the item that `content` refers to, as the job may be removed from
     // the store during the run.
--- a/source/batches/item_scheduler.cpp
+++ b/source/batches/item_scheduler.cpp
@@ -21,6 +21,12 @@
 constexpr core::milliseconds retry_delay{300};
 // Mean delay before an item is run again that an endpoint has refused.
 constexpr core::milliseconds refused_delay{200};
+// Pause after a run whose endpoint closed the connection at its start, doubled
+// for each further one: the item may be what crashes the endpoints.
+constexpr core::milliseconds closed_delay{1000};
+constexpr int most_delay_doublings = 3;
+// Pause before an item with a quarantined part is looked at again.
+constexpr core::milliseconds quarantined_delay{1000};
 // Each stall doubles the time that an item's next run may stay without events,
 // up to sixteen times.
 constexpr int most_patience_doublings = 4;
@@ -297,8 +303,35 @@
     return this->share.may_start();
 }
 
+std::vector<std::uint64_t>
+item_scheduler::shared_parts(const model::item& content) const
+{
+    for (const auto& [name, value] : content.headers)
+        if (http::header_list::same_name(name, this->names.prompt))
+            return this->names.parse_prompt(value);
+    return {};
+}
+
+bool item_scheduler::quarantined(const model::item& content) const
+{
+    return this->runtime.quarantine()
+        .blocked_for(this->shared_parts(content))
+        .has_value();
+}
+
 bool item_scheduler::start_item(const candidate& next, core::instant now)
 {
+    const auto* log = this->jobs.find(next.job);
+    const auto& job = *log->submitted();
+    auto& state = this->progress_of(next.job, next.item);
+    if (this->quarantined(job.items[next.item]))
+    {
+        // Stays open until its retention time is exceeded.
+        state.retry_at = now + quarantined_delay;
+        this->runtime.metrics_recorder().count("hatch_items_delayed_total",
+                                               "reason", "quarantined");
+        return true;
+    }
     auto service = core::routes::select_service(*next.route, host::uniform());
     if (!this->may_start(service, now))
         return false;
@@ -308,9 +341,6 @@
         host::uniform());
     if (chosen.chosen == nullptr)
         return false;
-    const auto* log = this->jobs.find(next.job);
-    const auto& job = *log->submitted();
-    auto& state = this->progress_of(next.job, next.item);
     state.running = true;
     // Where every endpoint is slow but sound, an item gets its time in the end.
     auto patience = 1 << std::min(state.stalls, most_patience_doublings);
@@ -369,6 +399,11 @@
     }
     case item_run::run_state::retry:
         state.stalls += run->ended_stalled() ? 1 : 0;
+        if (run->closed_at_start())
+            state.retry_at =
+                host::boot_now() +
+                closed_delay *
+                    (1 << std::min(state.closes++, most_delay_doublings));
         // The loads don't show yet that the endpoint is full.
         if (run->refused())
             state.retry_at = host::boot_now() +
--- a/source/batches/item_scheduler.hpp
+++ b/source/batches/item_scheduler.hpp
@@ -29,6 +29,8 @@
     core::milliseconds held_slot{};
     /// Runs that were interrupted because they had stalled.
     int stalls = 0;
+    /// Runs whose endpoint closed the connection at their start.
+    int closes = 0;
 };
 
 /// @brief The open items of the jobs that this host owns, by job id and item
@@ -103,6 +105,9 @@
                         std::vector<candidate>& out);
     bool start_item(const candidate& next, core::instant now);
     bool may_start(std::string_view service, core::instant now);
+    std::vector<std::uint64_t>
+    shared_parts(const core::batches::item& content) const;
+    bool quarantined(const core::batches::item& content) const;
     void give_up(const std::string& job, std::uint32_t item,
                  std::string_view reason);
     void store_result(const std::string& job, std::uint32_t item,
--- a/source/core/endpoints/endpoint_table.hpp
+++ b/source/core/endpoints/endpoint_table.hpp
@@ -22,6 +22,9 @@
     std::string zone;
     std::uint32_t slots = 1;
     bool draining = false;
+    /// When it started, by its own clock; tells apart its incarnations, which
+    /// may have the same id. 0: not known.
+    std::int64_t started_ms = 0;
 };
 
 /// @brief Kinds of load; online requests may preempt batch requests.
--- a/source/core/peers/beacon.hpp
+++ b/source/core/peers/beacon.hpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "core/instant.hpp"
+#include "core/quarantine/crash_report.hpp"
 
 namespace amaranthhatch::core::peers
 {
@@ -97,6 +98,8 @@
     std::vector<endpoint_load> loads;
     std::vector<copy_revision> copies;
     std::vector<backlog> backlogs;
+    /// The sender's own and those that it has received.
+    std::vector<quarantine::crash_report> crashes;
 };
 
 } // namespace amaranthhatch::core::peers
--- /dev/null
+++ b/source/core/quarantine/crash_report.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "core/instant.hpp"
+
+namespace amaranthhatch::core::quarantine
+{
+
+/// @brief Identifies a part of a prompt that several requests can share.
+using part_id = std::uint64_t;
+
+/// Parts of a prompt that are tracked; further ones are ignored.
+inline constexpr std::size_t max_tracked_parts = 16;
+
+/// @brief A request that had hardly begun to generate when its endpoint closed
+/// the connection. Each of its parts may have crashed the endpoint.
+///
+/// Hosts send each other these reports. Two versions of one report are merged
+/// by joining their marks, so hosts agree whatever the order of arrival.
+struct crash_report
+{
+    /// Identifies the run of the request.
+    std::uint64_t run = 0;
+    /// Identifies the endpoint's incarnation; equal for all runs that one crash
+    /// has ended.
+    std::uint64_t endpoint = 0;
+    /// At most max_tracked_parts.
+    std::vector<part_id> parts;
+    /// A bit for each part that another request has been answered with since.
+    std::uint32_t cleared = 0;
+    /// A bit for each part that some host has confirmed as the cause.
+    std::uint32_t confirmed = 0;
+    /// Time since the crash.
+    milliseconds age{};
+};
+
+} // namespace amaranthhatch::core::quarantine
--- /dev/null
+++ b/source/core/quarantine/part_quarantine.cpp
@@ -0,0 +1,379 @@
+#include "core/quarantine/part_quarantine.hpp"
+
+#include <algorithm>
+
+namespace amaranthhatch::core::quarantine
+{
+
+namespace
+{
+
+// A change is sent for this time, in which it reaches all hosts even if some
+// beacons are lost.
+constexpr milliseconds send_time{2000};
+// The reports of quarantined parts are sent in the first part of each interval,
+// which is long enough for a beacon to hosts of each zone.
+constexpr milliseconds refresh_interval{500};
+constexpr milliseconds refresh_window{120};
+// Reports in one beacon, about 400 bytes.
+constexpr std::size_t sent_at_once = 8;
+// Interval after which a beacon holds the next reports, where there are more.
+constexpr milliseconds rotation_interval{20};
+// A report isn't sent in the last part of its time, so that no host that has
+// removed it gets it again.
+constexpr milliseconds unsent_time{10000};
+// Crashes that requests with the same parts seldom share by accident.
+constexpr std::size_t several_crashes = 2;
+// Time for which reports are kept whose parts are all cleared, as other hosts
+// may not have heard it. Those of parts that were quarantined are kept longer,
+// as a host that starts may have read them from the store.
+constexpr milliseconds cleared_time{15000};
+
+std::uint32_t bit(std::size_t index)
+{
+    return std::uint32_t{1} << index;
+}
+
+std::uint32_t all_bits(std::size_t count)
+{
+    return bit(count) - 1;
+}
+
+bool entirely_cleared(const crash_report& report)
+{
+    return report.cleared == all_bits(report.parts.size());
+}
+
+// Index of an uncleared part; nothing if it is cleared or not in the report.
+std::optional<std::size_t> uncleared_index(const crash_report& report,
+                                           part_id part)
+{
+    for (std::size_t index = 0; index < report.parts.size(); index++)
+        if (report.parts[index] == part && (report.cleared & bit(index)) == 0)
+            return index;
+    return std::nullopt;
+}
+
+bool contains_all(std::span<const part_id> parts,
+                  const part_quarantine::part_set& wanted)
+{
+    return std::all_of(
+        wanted.begin(), wanted.end(),
+        [&](part_id each)
+        { return std::find(parts.begin(), parts.end(), each) != parts.end(); });
+}
+
+} // namespace
+
+part_quarantine::part_quarantine(limits bounds) : bounds(bounds) {}
+
+bool part_quarantine::accepts(const crash_report& report) const
+{
+    if (report.parts.empty() || report.parts.size() > max_tracked_parts ||
+        report.age >= this->bounds.duration)
+        return false;
+    return std::any_of(
+        report.parts.begin(), report.parts.end(),
+        [&](part_id part)
+        {
+            auto same = this->uncleared_records(part);
+            bool new_endpoint = std::none_of(
+                same.begin(), same.end(),
+                [&](const record* each)
+                { return each->report.endpoint == report.endpoint; });
+            return uncleared_index(report, part) &&
+                   (same.size() < this->bounds.reports_per_part ||
+                    (new_endpoint &&
+                     this->crashed_endpoints(part) < this->bounds.crashes));
+        });
+}
+
+void part_quarantine::add(crash_report report, instant now)
+{
+    this->make_room();
+    auto run = report.run;
+    auto crashed_at = now - report.age;
+    this->records[run] = {std::move(report), crashed_at, now};
+}
+
+bool part_quarantine::record_crash(crash_report report, instant now)
+{
+    if (report.parts.size() > max_tracked_parts)
+        report.parts.resize(max_tracked_parts);
+    if (this->records.contains(report.run) || !this->accepts(report))
+        return false;
+    this->add(std::move(report), now);
+    this->rebuild();
+    return true;
+}
+
+void part_quarantine::record_answer(std::span<const part_id> parts, instant now)
+{
+    this->answers++;
+    bool changed = false;
+    for (auto& [run, stored] : this->records)
+        for (auto part : parts)
+            if (auto index = uncleared_index(stored.report, part))
+            {
+                stored.report.cleared |= bit(*index);
+                stored.changed_at = now;
+                changed = true;
+            }
+    if (changed)
+        this->rebuild();
+}
+
+void part_quarantine::merge(const crash_report& report, instant now)
+{
+    auto found = this->records.find(report.run);
+    if (found == this->records.end())
+    {
+        if (!this->accepts(report))
+            return;
+        this->add(report, now);
+        return this->rebuild();
+    }
+    auto& stored = found->second;
+    if (stored.report.parts != report.parts)
+        return;
+    // A report gets younger on its way by the time that it takes.
+    stored.crashed_at = std::min(stored.crashed_at, now - report.age);
+    auto cleared = stored.report.cleared | report.cleared;
+    auto confirmed = stored.report.confirmed | report.confirmed;
+    bool changed = cleared != stored.report.cleared ||
+                   confirmed != stored.report.confirmed;
+    if (!changed)
+        return;
+    stored.report.cleared = cleared;
+    stored.report.confirmed = confirmed;
+    stored.changed_at = now;
+    this->rebuild();
+}
+
+// Removes the report that is least needed: one that is cleared before one of a
+// part that isn't quarantined, the oldest first.
+void part_quarantine::make_room()
+{
+    if (this->records.size() < this->bounds.reports)
+        return;
+    auto rank = [](const record& each)
+    {
+        int needed = entirely_cleared(each.report) ? 0
+                     : each.report.confirmed == 0  ? 1
+                                                   : 2;
+        return std::pair(needed, each.crashed_at);
+    };
+    auto least =
+        std::min_element(this->records.begin(), this->records.end(),
+                         [&](const auto& left, const auto& right)
+                         { return rank(left.second) < rank(right.second); });
+    this->records.erase(least);
+}
+
+std::vector<const part_quarantine::record*>
+part_quarantine::uncleared_records(part_id part) const
+{
+    std::vector<const record*> out;
+    for (const auto& [run, stored] : this->records)
+        if (uncleared_index(stored.report, part))
+            out.push_back(&stored);
+    return out;
+}
+
+std::size_t part_quarantine::crashed_endpoints(part_id part) const
+{
+    std::set<std::uint64_t> endpoints;
+    for (const auto* stored : this->uncleared_records(part))
+        endpoints.insert(stored->report.endpoint);
+    return endpoints.size();
+}
+
+bool part_quarantine::confirmed(part_id part) const
+{
+    auto same = this->uncleared_records(part);
+    return std::any_of(same.begin(), same.end(),
+                       [part](const record* each)
+                       {
+                           auto index = uncleared_index(each->report, part);
+                           return (each->report.confirmed & bit(*index)) != 0;
+                       });
+}
+
+void part_quarantine::confirm(part_id part, instant now)
+{
+    for (auto& [run, stored] : this->records)
+        if (auto index = uncleared_index(stored.report, part))
+        {
+            stored.report.confirmed |= bit(*index);
+            stored.changed_at = now;
+        }
+}
+
+part_quarantine::part_set
+part_quarantine::common_parts(std::span<const record* const> records)
+{
+    part_set common;
+    for (auto part : records.front()->report.parts)
+        if (std::all_of(
+                records.begin(), records.end(),
+                [part](const record* each)
+                { return uncleared_index(each->report, part).has_value(); }))
+            common.insert(part);
+    return common;
+}
+
+// Explanations of several crashes, those that fewest requests match first.
+std::vector<part_quarantine::explanation> part_quarantine::explanations() const
+{
+    std::set<part_id> uncleared;
+    for (const auto& [run, stored] : this->records)
+        for (auto part : stored.report.parts)
+            if (uncleared_index(stored.report, part))
+                uncleared.insert(part);
+    std::map<part_set, std::set<std::uint64_t>> endpoints_by_parts;
+    for (auto part : uncleared)
+    {
+        auto same = this->uncleared_records(part);
+        auto& endpoints = endpoints_by_parts[common_parts(same)];
+        for (const auto* stored : same)
+            endpoints.insert(stored->report.endpoint);
+    }
+    std::vector<explanation> out;
+    for (auto& [common, endpoints] : endpoints_by_parts)
+        if (endpoints.size() >= several_crashes)
+            out.push_back({common, std::move(endpoints)});
+    std::stable_sort(out.begin(), out.end(),
+                     [](const explanation& left, const explanation& right)
+                     { return left.common.size() > right.common.size(); });
+    return out;
+}
+
+void part_quarantine::rebuild()
+{
+    this->blocked.clear();
+    this->suspected.clear();
+    this->several.clear();
+    std::set<std::uint64_t> explained;
+    for (const auto& each : this->explanations())
+    {
+        auto unexplained = static_cast<std::size_t>(
+            std::count_if(each.endpoints.begin(), each.endpoints.end(),
+                          [&](std::uint64_t endpoint)
+                          { return !explained.contains(endpoint); }));
+        if (unexplained == 0)
+            continue;
+        bool wide = unexplained < each.endpoints.size() &&
+                    unexplained < this->bounds.crashes;
+        if (!wide && unexplained >= several_crashes)
+        {
+            explained.insert(each.endpoints.begin(), each.endpoints.end());
+            this->several.push_back(each.common);
+        }
+        if (each.endpoints.size() < this->bounds.crashes)
+            continue;
+        for (auto part : each.common)
+        {
+            // A part of more requests has an explanation of its own.
+            if (common_parts(this->uncleared_records(part)) != each.common)
+                continue;
+            this->suspected[part] = wide;
+            if (this->confirmed(part))
+                this->blocked[part] = each.common;
+        }
+    }
+}
+
+void part_quarantine::update(instant now)
+{
+    std::erase_if(this->records,
+                  [&](const auto& each)
+                  {
+                      const auto& stored = each.second;
+                      bool needed = !entirely_cleared(stored.report) ||
+                                    stored.report.confirmed != 0;
+                      auto kept = needed ? this->bounds.duration : cleared_time;
+                      return now - stored.crashed_at >= kept;
+                  });
+    this->rebuild();
+    std::erase_if(this->candidates, [&](const auto& each)
+                  { return !this->suspected.contains(each.first); });
+    for (auto [part, wide] : std::map(this->suspected))
+    {
+        const auto& found =
+            this->candidates.try_emplace(part, candidate{now, this->answers})
+                .first->second;
+        bool settled = now - found.since >= (wide ? this->bounds.wide_settle
+                                                  : this->bounds.settle) &&
+                       this->answers - found.answers_before >=
+                           (wide ? this->bounds.wide_other_answers
+                                 : this->bounds.other_answers);
+        if (settled && !this->confirmed(part))
+            this->confirm(part, now);
+    }
+    this->rebuild();
+}
+
+bool part_quarantine::suspects(std::span<const part_id> parts) const
+{
+    return std::any_of(this->several.begin(), this->several.end(),
+                       [&](const part_set& common)
+                       { return contains_all(parts, common); });
+}
+
+std::optional<milliseconds>
+part_quarantine::blocked_for(std::span<const part_id> parts, instant now) const
+{
+    for (const auto& [part, common] : this->blocked)
+        if (contains_all(parts, common))
+            return this->time_left(part, now);
+    return std::nullopt;
+}
+
+milliseconds part_quarantine::time_left(part_id part, instant now) const
+{
+    auto left = milliseconds(0);
+    for (const auto* stored : this->uncleared_records(part))
+        left = std::max(left, stored->crashed_at + this->bounds.duration - now);
+    return left;
+}
+
+crash_report part_quarantine::with_age(const record& stored, instant now) const
+{
+    auto report = stored.report;
+    report.age = now - stored.crashed_at;
+    return report;
+}
+
+std::vector<crash_report> part_quarantine::reports_to_send(instant now) const
+{
+    bool refresh = now % refresh_interval < refresh_window;
+    std::vector<const record*> due;
+    for (const auto& [run, stored] : this->records)
+    {
+        bool changed = now - stored.changed_at < send_time;
+        bool quarantines =
+            stored.report.confirmed != 0 && !entirely_cleared(stored.report);
+        bool young =
+            now - stored.crashed_at < this->bounds.duration - unsent_time;
+        if (young && (changed || (refresh && quarantines)))
+            due.push_back(&stored);
+    }
+    std::vector<crash_report> out;
+    auto count = std::min(due.size(), sent_at_once);
+    auto turn = static_cast<std::size_t>(now / rotation_interval);
+    for (std::size_t index = 0; index < count; index++)
+        out.push_back(this->with_age(
+            *due[(turn * sent_at_once + index) % due.size()], now));
+    return out;
+}
+
+std::vector<crash_report> part_quarantine::reports_of(part_id part,
+                                                      instant now) const
+{
+    std::vector<crash_report> out;
+    for (const auto* stored : this->uncleared_records(part))
+        out.push_back(this->with_age(*stored, now));
+    return out;
+}
+
+} // namespace amaranthhatch::core::quarantine
--- /dev/null
+++ b/source/core/quarantine/part_quarantine.hpp
@@ -0,0 +1,146 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <vector>
+
+#include "core/instant.hpp"
+#include "core/quarantine/crash_report.hpp"
+
+namespace amaranthhatch::core::quarantine
+{
+
+/// @brief Finds the parts of prompts that crash endpoints, and blocks requests
+/// that contain them.
+///
+/// Most requests that an endpoint runs when it crashes are sound. A part is
+/// suspected if requests with it were just beginning on several endpoints when
+/// these crashed; a single answer to a request with it clears it. A part is
+/// quarantined if nothing has cleared it while other requests were answered.
+///
+/// Parts that always come together can't be told apart. A request is blocked
+/// only if it contains all parts that the crashed requests with a quarantined
+/// part had in common, so that requests that share some of them still run. A
+/// crash has one cause: where parts that occur in fewer requests explain it, it
+/// doesn't count against a part that more requests share.
+class part_quarantine
+{
+public:
+    using part_set = std::set<part_id>;
+
+    struct limits
+    {
+        /// Crashed endpoints without an answer after which a part can be the
+        /// cause.
+        std::size_t crashes = 3;
+        /// Time in which an answer can still clear such a part.
+        milliseconds settle{500};
+        /// The same for a part whose crashes are mostly explained by it and
+        /// another part together.
+        milliseconds wide_settle{2500};
+        /// Answers to requests without the part in that time. Without them the
+        /// endpoints may be down for another reason.
+        std::uint64_t other_answers = 4;
+        std::uint64_t wide_other_answers = 12;
+        /// A report counts for this time after the crash.
+        milliseconds duration{300000};
+        /// Largest number of reports.
+        std::size_t reports = 128;
+        /// Largest number of reports with the same uncleared parts; more add
+        /// nothing.
+        std::size_t reports_per_part = 6;
+    };
+
+    explicit part_quarantine(limits bounds);
+
+    /// @brief Adds a crash that this host has seen; false if it is ignored.
+    bool record_crash(crash_report report, instant now);
+
+    /// @brief Clears the parts of a request that an endpoint answers.
+    void record_answer(std::span<const part_id> parts, instant now);
+
+    /// @brief Merges another host's version of a report.
+    void merge(const crash_report& report, instant now);
+
+    /// @brief Confirms causes and removes old reports; to be called often.
+    void update(instant now);
+
+    /// @brief Returns for how long a request with these parts stays blocked;
+    /// nothing if it isn't.
+    std::optional<milliseconds> blocked_for(std::span<const part_id> parts,
+                                            instant now) const;
+
+    /// @brief Returns for how long an uncleared part stays suspected.
+    milliseconds time_left(part_id part, instant now) const;
+
+    /// @brief True if a request with these parts may be the cause of more than
+    /// one crash.
+    bool suspects(std::span<const part_id> parts) const;
+
+    /// @brief The quarantined parts, each with the parts that a blocked request
+    /// also contains.
+    const std::map<part_id, part_set>& quarantined() const
+    {
+        return this->blocked;
+    }
+
+    /// @brief Reports for the other hosts: those that changed a short time ago,
+    /// and at intervals those of quarantined parts, for hosts that start.
+    std::vector<crash_report> reports_to_send(instant now) const;
+
+    /// @brief The reports that a part is quarantined for.
+    std::vector<crash_report> reports_of(part_id part, instant now) const;
+
+    std::size_t size() const { return this->records.size(); }
+
+private:
+    struct record
+    {
+        crash_report report;
+        instant crashed_at{};
+        instant changed_at{};
+    };
+
+    /// @brief Parts that the same crashed requests have in common.
+    struct explanation
+    {
+        part_set common;
+        std::set<std::uint64_t> endpoints;
+    };
+
+    /// @brief A part that may be the cause, until it is confirmed or cleared.
+    struct candidate
+    {
+        instant since{};
+        std::uint64_t answers_before = 0;
+    };
+
+    bool accepts(const crash_report& report) const;
+    void add(crash_report report, instant now);
+    void make_room();
+    void rebuild();
+    std::vector<const record*> uncleared_records(part_id part) const;
+    std::size_t crashed_endpoints(part_id part) const;
+    bool confirmed(part_id part) const;
+    void confirm(part_id part, instant now);
+    static part_set common_parts(std::span<const record* const> records);
+    std::vector<explanation> explanations() const;
+    crash_report with_age(const record& stored, instant now) const;
+
+    limits bounds;
+    std::map<std::uint64_t, record> records;
+    std::map<part_id, candidate> candidates;
+    std::map<part_id, part_set> blocked;
+    /// Parts that explain enough crashes to be quarantined, confirmed or not;
+    /// true where other parts explain most of them, too.
+    std::map<part_id, bool> suspected;
+    /// The common parts of requests that may have caused several crashes.
+    std::vector<part_set> several;
+    std::uint64_t answers = 0;
+};
+
+} // namespace amaranthhatch::core::quarantine
--- a/source/forward/header_names.hpp
+++ b/source/forward/header_names.hpp
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace amaranthhatch::forward
 {
@@ -20,6 +23,12 @@
     std::string target_instance;
     /// Set on a response where the endpoint did not run the request.
     std::string not_run;
+    /// Names the parts of the request's prompt.
+    std::string prompt;
+    /// Parses the value of that header: the ids of the parts that requests can
+    /// share, in order.
+    std::vector<std::uint64_t> (*parse_prompt)(std::string_view value) =
+        nullptr;
 };
 
 } // namespace amaranthhatch::forward
--- a/source/forward/online_request.cpp
+++ b/source/forward/online_request.cpp
@@ -26,6 +26,9 @@
 // Pause before the next attempt if no endpoint can be chosen; by then a few
 // beacons with newer loads have arrived.
 constexpr core::milliseconds retry_pause{50};
+// Longest time for which a request isn't repeated while it may have crashed
+// endpoints: by then its parts are cleared or quarantined.
+constexpr core::milliseconds suspicion_limit{1500};
 // Share of the target latency that may pass in an endpoint's queue; the rest is
 // for processing the prompt and for the network.
 constexpr double queue_share = 0.7;
@@ -77,6 +80,9 @@
         this->exchange->received_request().headers.get(names.deadline),
         matched.timeout);
     this->deadline = this->arrived_at + std::min(wait_timeout, matched.timeout);
+    this->prompt.request = this->request_id;
+    this->prompt.parts = names.parse_prompt(
+        this->exchange->received_request().headers.get(names.prompt));
 }
 
 void online_request::start()
@@ -103,6 +109,14 @@
 void online_request::attempt()
 {
     auto now = host::boot_now();
+    if (auto blocked =
+            this->runtime.quarantine().blocked_for(this->prompt.parts))
+        return this->possible_runs == 0 ? this->refuse("quarantined", *blocked)
+                                        : this->fail(502, "quarantined");
+    bool suspected = now < this->suspected_until &&
+                     this->runtime.quarantine().suspects(this->prompt.parts);
+    if (suspected)
+        return this->attempt_later();
     auto& endpoints = this->runtime.endpoints();
     auto choice = endpoints.choose_online(
         this->service, this->excluded_endpoints, now, host::uniform());
@@ -115,15 +129,17 @@
         choice.expected_wait + (now - this->arrived_at) > allowed_wait)
         return this->refuse("overload", choice.expected_wait);
     if (choice.chosen == nullptr)
+    {
+        // No other endpoint is left, so endpoints that failed are tried again.
+        this->excluded_endpoints.clear();
         return this->attempt_later();
+    }
     this->preempts_batch = choice.preempts;
     this->send_to(*choice.chosen);
 }
 
 void online_request::attempt_later()
 {
-    // No other endpoint is left, so endpoints that failed are tried again.
-    this->excluded_endpoints.clear();
     auto self = this->shared_from_this();
     this->retry_timer.expires_after(retry_pause);
     this->retry_timer.async_wait(
@@ -175,6 +191,9 @@
     this->events.drop_incomplete_event();
     this->sends++;
     this->last_endpoint = chosen.id;
+    this->prompt.endpoint = chosen.id;
+    this->prompt.endpoint_started_ms = chosen.started_ms;
+    this->prompt.events = 0;
     this->run = this->runtime.endpoints().begin(
         chosen.id, core::endpoints::load_kind::online, now);
     this->runtime.load_changed();
@@ -232,6 +251,7 @@
         return;
     if (has_data(complete_events))
         this->record_event(host::boot_now());
+    this->runtime.quarantine().record_events(this->prompt, complete_events);
     if (!this->response_started)
     {
         this->response_started = true;
@@ -289,8 +309,17 @@
                     this->unusable_reason.empty() &&
                     this->events.incomplete_event().empty();
     this->end_run(complete ? run_outcome::answered : run_outcome::broken);
+    if (end == http::call_end::closed &&
+        this->runtime.quarantine().record_close(this->prompt))
+        this->suspected_until = host::boot_now() + suspicion_limit;
     if (complete)
+    {
+        bool generated = this->status >= 200 && this->status < 300 &&
+                         (!is_stream(this->route) || this->prompt.events > 0);
+        if (generated)
+            this->runtime.quarantine().record_answer(this->prompt);
         return this->on_complete();
+    }
     this->excluded_endpoints.push_back(this->last_endpoint);
     this->on_failure(this->unusable_reason.empty() ? reason
                                                    : this->unusable_reason);
--- a/source/forward/online_request.hpp
+++ b/source/forward/online_request.hpp
@@ -91,9 +91,13 @@
     call_state phase = call_state::waiting;
     std::shared_ptr<http::client_call> call;
     core::endpoints::run_key run;
+    /// The current or last run, for the quarantine of prompt parts.
+    host::prompt_run prompt;
     /// Endpoints that refused or failed this request. They are tried again only
     /// if no other endpoint is left.
     std::vector<std::string> excluded_endpoints;
+    /// Until then the request isn't repeated while it may have caused crashes.
+    core::instant suspected_until{};
     std::string last_endpoint;
     std::shared_ptr<const std::string> body;
     /// Number of calls in which an endpoint may have run the request.
--- a/source/host/host_runtime.hpp
+++ b/source/host/host_runtime.hpp
@@ -11,6 +11,8 @@
 #include "core/endpoints/endpoint_table.hpp"
 #include "core/peers/peer_table.hpp"
 #include "host/host_settings.hpp"
+#include "host/quarantine_entries.hpp"
+#include "host/shared_quarantine.hpp"
 #include "http/async_client.hpp"
 #include "http/async_server.hpp"
 #include "metrics/recorder.hpp"
@@ -34,7 +36,8 @@
 enum class mirrored_part : std::uint8_t
 {
     configuration,
-    /// The registrations of the system's own hosts.
+    /// The registrations of the system's own hosts, and the prompt parts that
+    /// they have quarantined.
     hosts,
     /// Which disks hold which partitions of the jobs.
     placement,
@@ -83,6 +86,7 @@
     core::peers::peer_table& peers() { return this->peer_hosts; }
     const core::peers::peer_table& peers() const { return this->peer_hosts; }
     core::endpoints::endpoint_table& endpoints() { return this->table; }
+    shared_quarantine& quarantine() { return this->parts; }
     const host_settings& settings() const { return this->current_settings; }
     /// @brief The key of the placement of the jobs' partitions.
     std::string placement_key() const;
@@ -101,6 +105,7 @@
     void respond_with_copy(http::server_exchange& exchange) const;
     void on_hosts_change();
     std::string hosts_prefix() const;
+    std::string quarantine_prefix() const;
     std::uint32_t capacity() const;
     core::milliseconds pull_interval(core::instant now) const;
     void check_mirrors();
@@ -129,6 +134,8 @@
     std::uint64_t own_incarnation;
     core::peers::peer_table peer_hosts;
     core::endpoints::endpoint_table table;
+    shared_quarantine parts;
+    quarantine_entries stored_parts;
     peers::beacon_socket socket;
     std::vector<std::unique_ptr<store::mirror>> mirrors;
     std::vector<std::vector<change_callback>> listeners;
--- /dev/null
+++ b/source/host/shared_quarantine.cpp
@@ -0,0 +1,156 @@
+#include "host/shared_quarantine.hpp"
+
+#include <cstdio>
+
+#include "core/hash.hpp"
+#include "forward/event_splitter.hpp"
+#include "host/boot_clock.hpp"
+#include "logging/event.hpp"
+
+namespace amaranthhatch::host
+{
+
+using core::quarantine::part_id;
+
+namespace
+{
+
+// An endpoint that crashes on a prompt does so as it begins to generate. It may
+// have sent one event by then.
+constexpr std::uint32_t events_of_sound_run = 2;
+
+std::string hex_list(const auto& parts)
+{
+    std::string out;
+    for (auto part : parts)
+        out += (out.empty() ? "" : ",") + hex_text(part);
+    return out;
+}
+
+} // namespace
+
+std::string hex_text(part_id part)
+{
+    char text[20];
+    std::snprintf(text, sizeof text, "%llx",
+                  static_cast<unsigned long long>(part));
+    return text;
+}
+
+shared_quarantine::shared_quarantine(metrics::recorder& metrics)
+    : metrics(metrics), table({})
+{
+}
+
+void shared_quarantine::record_events(prompt_run& run, std::string_view events)
+{
+    if (run.events >= events_of_sound_run)
+        return;
+    forward::for_each_data(events, [&run](std::string_view) { run.events++; });
+    if (run.events >= events_of_sound_run)
+        this->clear(run);
+}
+
+void shared_quarantine::record_answer(const prompt_run& run)
+{
+    if (run.events < events_of_sound_run)
+        this->clear(run);
+}
+
+void shared_quarantine::clear(const prompt_run& run)
+{
+    this->table.record_answer(run.parts, boot_now());
+    if (this->table.size() > 0)
+        this->check();
+}
+
+bool shared_quarantine::record_close(const prompt_run& run)
+{
+    if (run.events >= events_of_sound_run || run.parts.empty())
+        return false;
+    core::quarantine::crash_report report;
+    report.run = core::hash(run.request, core::hash(run.endpoint));
+    report.endpoint = core::hash(run.endpoint + "/" +
+                                 std::to_string(run.endpoint_started_ms));
+    report.parts = run.parts;
+    bool recorded = this->table.record_crash(std::move(report), boot_now());
+    this->metrics.count("hatch_runs_closed_at_start_total", "recorded",
+                        recorded ? "yes" : "no");
+    if (recorded)
+        logging::event(logging::level::warning, "run_closed_at_start")
+            .with("id", run.request)
+            .with("endpoint", run.endpoint)
+            .with("events", run.events)
+            .with("parts", hex_list(run.parts));
+    return true;
+}
+
+std::optional<core::milliseconds>
+shared_quarantine::blocked_for(std::span<const part_id> parts) const
+{
+    return this->table.blocked_for(parts, boot_now());
+}
+
+void shared_quarantine::add_to(core::peers::beacon& beacon) const
+{
+    beacon.crashes = this->table.reports_to_send(boot_now());
+}
+
+void shared_quarantine::receive(const core::peers::beacon& beacon)
+{
+    this->merge(beacon.crashes);
+}
+
+void shared_quarantine::merge(
+    std::span<const core::quarantine::crash_report> reports)
+{
+    auto now = boot_now();
+    for (const auto& report : reports)
+        this->table.merge(report, now);
+    if (!reports.empty())
+        this->check();
+}
+
+std::vector<core::quarantine::crash_report>
+shared_quarantine::reports_of(part_id part) const
+{
+    return this->table.reports_of(part, boot_now());
+}
+
+core::milliseconds shared_quarantine::time_left(part_id part) const
+{
+    return this->table.time_left(part, boot_now());
+}
+
+void shared_quarantine::check()
+{
+    this->table.update(boot_now());
+    this->log_changes();
+}
+
+void shared_quarantine::log_changes()
+{
+    const auto& quarantined = this->table.quarantined();
+    if (quarantined.empty() && this->logged.empty())
+        return;
+    for (const auto& [part, common] : quarantined)
+        if (this->logged.insert(part).second)
+            logging::event(logging::level::warning, "part_quarantined")
+                .with("part", hex_text(part))
+                .with("with", hex_list(common))
+                .with("crashes",
+                      static_cast<std::int64_t>(this->reports_of(part).size()));
+    std::erase_if(this->logged,
+                  [&](part_id part)
+                  {
+                      bool released = !quarantined.contains(part);
+                      if (released)
+                          logging::event(logging::level::info, "part_released")
+                              .with("part", hex_text(part));
+                      return released;
+                  });
+    this->metrics.set("hatch_quarantined_parts",
+                      static_cast<double>(quarantined.size()));
+}
+
+} // namespace amaranthhatch::host
--- /dev/null
+++ b/source/host/shared_quarantine.hpp
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/peers/beacon.hpp"
+#include "core/quarantine/part_quarantine.hpp"
+#include "metrics/recorder.hpp"
+
+namespace amaranthhatch::host
+{
+
+/// @brief The hexadecimal text of a part's id.
+std::string hex_text(core::quarantine::part_id part);
+
+/// @brief A run of a request, as far as its endpoint's crash concerns it.
+struct prompt_run
+{
+    std::string request;
+    std::string endpoint;
+    std::int64_t endpoint_started_ms = 0;
+    /// The parts of its prompt that other requests can share.
+    std::vector<core::quarantine::part_id> parts;
+    /// Events with data that the endpoint has sent in this run.
+    std::uint32_t events = 0;
+};
+
+/// @brief The quarantine of prompt parts that crash endpoints, shared with the
+/// other hosts by beacons. Logs and counts what it decides.
+class shared_quarantine
+{
+public:
+    explicit shared_quarantine(metrics::recorder& metrics);
+
+    /// @brief Counts the events in received bytes; an endpoint that goes on
+    /// generating hasn't crashed, which clears the run's parts.
+    void record_events(prompt_run& run, std::string_view events);
+
+    /// @brief Records that a run was answered completely.
+    void record_answer(const prompt_run& run);
+
+    /// @brief Records that the endpoint closed the connection of a run that
+    /// wasn't complete.
+    /// Returns true if the endpoint had hardly begun to generate.
+    bool record_close(const prompt_run& run);
+
+    /// @brief Returns for how long requests with these parts are refused;
+    /// nothing if they aren't.
+    std::optional<core::milliseconds>
+    blocked_for(std::span<const core::quarantine::part_id> parts) const;
+
+    /// @brief True if a request with these parts may be the cause of several
+    /// crashes.
+    bool suspects(std::span<const core::quarantine::part_id> parts) const
+    {
+        return this->table.suspects(parts);
+    }
+
+    /// @brief Adds the reports of crashes to a beacon.
+    void add_to(core::peers::beacon& beacon) const;
+
+    /// @brief Merges the reports of another host's beacon.
+    void receive(const core::peers::beacon& beacon);
+
+    /// @brief Merges reports from the store.
+    void merge(std::span<const core::quarantine::crash_report> reports);
+
+    /// @brief The quarantined parts, each with the parts that a blocked request
+    /// also contains.
+    const std::map<core::quarantine::part_id,
+                   core::quarantine::part_quarantine::part_set>&
+    quarantined() const
+    {
+        return this->table.quarantined();
+    }
+
+    /// @brief The reports that a part is quarantined for.
+    std::vector<core::quarantine::crash_report>
+    reports_of(core::quarantine::part_id part) const;
+
+    /// @brief Returns for how long a part stays quarantined.
+    core::milliseconds time_left(core::quarantine::part_id part) const;
+
+    /// @brief Confirms and removes what is due; to be called often.
+    void check();
+
+private:
+    void clear(const prompt_run& run);
+    void log_changes();
+
+    metrics::recorder& metrics;
+    core::quarantine::part_quarantine table;
+    /// Quarantined parts as last logged.
+    std::set<core::quarantine::part_id> logged;
+};
+
+} // namespace amaranthhatch::host
--- a/source/peers/packing.cpp
+++ b/source/peers/packing.cpp
@@ -15,7 +15,7 @@
 
 // Must change with the fields of packed_beacon, so that hosts of different
 // releases ignore each other's beacons instead of misreading them.
-constexpr std::uint32_t beacon_format = 4;
+constexpr std::uint32_t beacon_format = 5;
 // Bounds how long an unreadable or hostile beacon makes its sender look alive.
 constexpr core::milliseconds longest_interval{5000};
 
@@ -42,6 +42,24 @@
     MSGPACK_DEFINE(first, second)
 };
 
+struct packed_crash
+{
+    std::uint64_t run = 0;
+    std::uint64_t endpoint = 0;
+    std::vector<std::uint64_t> parts;
+    std::uint32_t cleared = 0;
+    std::uint32_t confirmed = 0;
+    std::int64_t age_ms = 0;
+    MSGPACK_DEFINE(run, endpoint, parts, cleared, confirmed, age_ms)
+};
+
+struct packed_crashes
+{
+    std::int64_t wall_ms = 0;
+    std::vector<packed_crash> reports;
+    MSGPACK_DEFINE(wall_ms, reports)
+};
+
 struct packed_beacon
 {
     std::uint32_t version = 0;
@@ -61,9 +79,10 @@
     std::vector<packed_load> loads;
     std::vector<packed_pair> copies;
     std::vector<packed_pair> backlogs;
+    std::vector<packed_crash> crashes;
     MSGPACK_DEFINE(version, name, incarnation, sent_ms, address, zone, region,
                    disk, capacity, next_within_ms, leaving, store_unreachable,
-                   scope, echoes, loads, copies, backlogs)
+                   scope, echoes, loads, copies, backlogs, crashes)
 };
 
 struct packed_entry
@@ -82,6 +101,22 @@
     MSGPACK_DEFINE(revision, entries, expired)
 };
 
+packed_crash to_packed(const core::quarantine::crash_report& report)
+{
+    return {report.run,     report.endpoint,  report.parts,
+            report.cleared, report.confirmed, report.age.count()};
+}
+
+core::quarantine::crash_report from_packed(const packed_crash& packed)
+{
+    return {packed.run,
+            packed.endpoint,
+            packed.parts,
+            packed.cleared,
+            packed.confirmed,
+            core::milliseconds(std::max<std::int64_t>(packed.age_ms, 0))};
+}
+
 // Reads the number that may precede a beacon; returns how many bytes it took. A
 // beacon itself is an array.
 std::size_t read_included(std::string_view bytes, std::int64_t& included_ms)
@@ -128,6 +163,8 @@
         packed.copies.push_back({copy.changed, copy.as_of});
     for (const auto& backlog : beacon.backlogs)
         packed.backlogs.push_back({backlog.route, backlog.tokens});
+    for (const auto& crash : beacon.crashes)
+        packed.crashes.push_back(to_packed(crash));
     return to_bytes(packed);
 }
 
@@ -169,9 +206,40 @@
         beacon.copies.push_back({copy.first, copy.second});
     for (const auto& backlog : packed->backlogs)
         beacon.backlogs.push_back({backlog.first, backlog.second});
+    for (const auto& crash : packed->crashes)
+        beacon.crashes.push_back(from_packed(crash));
     return beacon;
 }
 
+std::string
+pack_crashes(std::span<const core::quarantine::crash_report> reports,
+             std::int64_t wall_ms)
+{
+    packed_crashes packed;
+    packed.wall_ms = wall_ms;
+    for (const auto& report : reports)
+        packed.reports.push_back(to_packed(report));
+    return to_bytes(packed);
+}
+
+std::optional<std::vector<core::quarantine::crash_report>>
+unpack_crashes(std::string_view bytes, std::int64_t wall_ms)
+{
+    auto packed = from_bytes<packed_crashes>(bytes, "crashes");
+    if (!packed)
+        return std::nullopt;
+    // Clocks of two hosts differ, so the writer's may be ahead.
+    auto elapsed = core::milliseconds(
+        std::max<std::int64_t>(wall_ms - packed->wall_ms, 0));
+    std::vector<core::quarantine::crash_report> reports;
+    for (const auto& each : packed->reports)
+    {
+        reports.push_back(from_packed(each));
+        reports.back().age += elapsed;
+    }
+    return reports;
+}
+
 std::string pack(const store::listing& listing)
 {
     packed_listing packed;
--- /dev/null
+++ b/tests/core/quarantine_test.cpp
@@ -0,0 +1,251 @@
+#include <catch2/catch.hpp>
+
+#include <random>
+
+#include "core/quarantine/part_quarantine.hpp"
+
+using namespace amaranthhatch;
+using core::instant;
+using core::quarantine::crash_report;
+using core::quarantine::part_id;
+using core::quarantine::part_quarantine;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr part_id first_part = 1;
+constexpr part_id subject = 2;
+constexpr part_id other_subject = 3;
+constexpr part_id deadly = 666;
+
+struct quarantine_table
+{
+    quarantine_table() : table({}) {}
+
+    void crash(std::uint64_t endpoint, std::vector<part_id> parts)
+    {
+        crash_report report;
+        report.run = ++this->runs;
+        report.endpoint = endpoint;
+        report.parts = std::move(parts);
+        this->table.record_crash(report, this->now);
+    }
+
+    void deadly_crashes(int count, part_id with = subject)
+    {
+        for (int at = 0; at < count; at++)
+            this->crash(++this->endpoints, {first_part, with, deadly});
+    }
+
+    /// @brief Lets time pass in which requests with these parts are answered.
+    void answer_others(std::vector<part_id> parts = {900})
+    {
+        for (int at = 0; at < 10; at++)
+        {
+            this->now += 100ms;
+            this->table.record_answer(parts, this->now);
+            this->table.update(this->now);
+        }
+    }
+
+    bool blocked(std::vector<part_id> parts) const
+    {
+        return this->table.blocked_for(parts, this->now).has_value();
+    }
+
+    part_quarantine table;
+    instant now{100000};
+    std::uint64_t runs = 0;
+    std::uint64_t endpoints = 0;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(
+    quarantine_table,
+    "deadly part, three crashes, is blocked with what it came with")
+{
+    this->deadly_crashes(2);
+    this->answer_others();
+    CHECK_FALSE(this->blocked({first_part, subject, deadly}));
+    this->deadly_crashes(1);
+    CHECK_FALSE(this->blocked({first_part, subject, deadly}));
+    this->answer_others();
+    CHECK(this->blocked({first_part, subject, deadly}));
+    CHECK_FALSE(this->blocked({first_part, subject}));
+    CHECK_FALSE(this->blocked({first_part, deadly}));
+}
+
+TEST_CASE_METHOD(quarantine_table,
+                 "deadly part, in another company, is blocked in any")
+{
+    this->deadly_crashes(3);
+    this->answer_others({first_part});
+    CHECK_FALSE(this->blocked({first_part, other_subject, deadly}));
+    this->deadly_crashes(1, other_subject);
+    for (int second = 0; second < 3; second++)
+        this->answer_others({first_part});
+    CHECK(this->blocked({77, deadly, 78}));
+    CHECK_FALSE(this->blocked({first_part, subject}));
+    CHECK_FALSE(this->blocked({first_part, other_subject}));
+}
+
+TEST_CASE_METHOD(quarantine_table,
+                 "shared part, crashes beside a deadly one, isn't blocked")
+{
+    // A sound request with the shared part began on a crashed endpoint.
+    this->deadly_crashes(4);
+    this->crash(1, {first_part, 50});
+    this->crash(2, {first_part, 51});
+    this->answer_others();
+    CHECK(this->blocked({first_part, subject, deadly}));
+    CHECK_FALSE(this->blocked({first_part, 52}));
+    CHECK_FALSE(this->blocked({first_part, subject}));
+}
+
+TEST_CASE_METHOD(quarantine_table,
+                 "two deadly parts, same first part, are both "
+                 "blocked and the first part isn't")
+{
+    this->deadly_crashes(4);
+    for (int at = 0; at < 4; at++)
+        this->crash(100 + at, {first_part, other_subject, 777});
+    this->answer_others();
+    CHECK(this->blocked({first_part, subject, deadly}));
+    CHECK(this->blocked({first_part, other_subject, 777}));
+    CHECK_FALSE(this->blocked({first_part, 50}));
+}
+
+TEST_CASE_METHOD(quarantine_table,
+                 "sound part, runs closed on many endpoints, is cleared")
+{
+    for (int at = 0; at < 8; at++)
+        this->crash(at, {first_part, static_cast<part_id>(50 + at)});
+    this->table.record_answer(std::vector<part_id>{first_part, 99}, this->now);
+    this->answer_others();
+    CHECK(this->table.quarantined().empty());
+}
+
+TEST_CASE_METHOD(quarantine_table,
+                 "all endpoints down, nothing answered, blocks no part")
+{
+    for (int at = 0; at < 8; at++)
+        this->crash(at, {first_part, static_cast<part_id>(50 + at)});
+    for (int at = 0; at < 50; at++)
+    {
+        this->now += 100ms;
+        this->table.update(this->now);
+    }
+    CHECK(this->table.quarantined().empty());
+}
+
+TEST_CASE_METHOD(quarantine_table,
+                 "one crash, many runs ended by it, is one crash")
+{
+    for (int at = 0; at < 8; at++)
+        this->crash(5, {first_part, subject});
+    this->answer_others();
+    CHECK(this->table.quarantined().empty());
+}
+
+TEST_CASE_METHOD(quarantine_table,
+                 "quarantined part, answered elsewhere, is released everywhere")
+{
+    this->deadly_crashes(3);
+    this->answer_others();
+    quarantine_table other;
+    for (const auto& report : this->table.reports_to_send(this->now))
+        other.table.merge(report, other.now);
+    REQUIRE(other.blocked({first_part, subject, deadly}));
+    other.table.record_answer(std::vector<part_id>{first_part, subject, deadly},
+                              other.now);
+    for (const auto& report : other.table.reports_to_send(other.now))
+        this->table.merge(report, this->now);
+    CHECK_FALSE(this->blocked({first_part, subject, deadly}));
+}
+
+TEST_CASE_METHOD(quarantine_table,
+                 "quarantined part, no crash for the duration, is released")
+{
+    this->deadly_crashes(3);
+    this->answer_others();
+    auto left = this->table.blocked_for(
+        std::vector<part_id>{first_part, subject, deadly}, this->now);
+    REQUIRE(left);
+    CHECK(*left > 290s);
+    this->now += *left;
+    this->table.update(this->now);
+    CHECK(this->table.size() == 0);
+    CHECK_FALSE(this->blocked({first_part, subject, deadly}));
+}
+
+TEST_CASE_METHOD(
+    quarantine_table,
+    "removed report, of a host that still had it, doesn't come back")
+{
+    this->deadly_crashes(3);
+    this->answer_others();
+    // In the last seconds nothing is sent, as others may have removed it.
+    this->now += 291s;
+    CHECK(this->table.reports_to_send(this->now).empty());
+    CHECK(this->blocked({first_part, subject, deadly}));
+}
+
+TEST_CASE_METHOD(quarantine_table,
+                 "flood of parts, each crashing once, stays within its bounds")
+{
+    this->deadly_crashes(3);
+    this->answer_others({first_part});
+    for (part_id at = 0; at < 5000; at++)
+        this->crash(1000 + at, {first_part, 10000 + at});
+    CHECK(this->table.size() <= part_quarantine::limits{}.reports);
+    CHECK(this->table.reports_to_send(this->now).size() <= 8);
+    CHECK(this->blocked({first_part, subject, deadly}));
+    std::vector<part_id> many(1000, 4);
+    this->crash(9, many);
+    CHECK(this->table.size() <= part_quarantine::limits{}.reports);
+}
+
+TEST_CASE("deadly part, crashes spread over many hosts with lost beacons, is "
+          "blocked on all of them")
+{
+    constexpr int hosts = 12;
+    for (unsigned seed = 1; seed <= 20; seed++)
+    {
+        INFO("seed " << seed);
+        std::mt19937 random(seed);
+        std::vector<part_quarantine> tables(hosts, part_quarantine({}));
+        std::uint64_t run = 0;
+        for (instant now{0}; now < 6s; now += 20ms)
+        {
+            auto host = random() % hosts;
+            // A request with the deadly part every 300 ms, at any host.
+            if (now % 300ms == 0ms && now < 2s)
+                tables[host].record_crash(
+                    {++run, run, {first_part, subject, deadly}, 0, 0, {}}, now);
+            // A sound one at another host; half of them share the first part.
+            auto sound = random() % hosts;
+            tables[sound].record_answer(
+                std::vector<part_id>{random() % 2 == 0 ? first_part : 9,
+                                     100 + random() % 100},
+                now);
+            for (auto& from : tables)
+            {
+                from.update(now);
+                auto reports = from.reports_to_send(now);
+                for (auto& to : tables)
+                    if (&to != &from && random() % 4 == 0)
+                        for (const auto& report : reports)
+                            to.merge(report, now);
+            }
+        }
+        for (const auto& table : tables)
+        {
+            std::vector<part_id> poisonous{first_part, subject, deadly};
+            std::vector<part_id> sound{first_part, subject};
+            CHECK(table.blocked_for(poisonous, 6s));
+            CHECK_FALSE(table.blocked_for(sound, 6s));
+        }
+    }
+}
--- a/tests/platform/quarantine_test.cpp
+++ b/tests/platform/quarantine_test.cpp
@@ -300,6 +300,25 @@
     this->check_refused(seen, before);
 }
 
+TEST_CASE_METHOD(quarantine, "poisonous part, quarantined, all hosts restarted "
+                             "at once, is refused still")
+{
+    {
+        background sound(this->fleet, "/again/x");
+        this->crash_workers();
+        std::this_thread::sleep_for(contact);
+    }
+    for (auto& entry : this->fleet.entries)
+        entry.process.reset();
+    for (auto& entry : this->fleet.entries)
+        entry.start();
+    for (const auto& address : this->fleet.ready)
+        REQUIRE(fleet::eventually(
+            [&] { return fleet::get(address, "/readyz").status == 200; }, 10s));
+    int before = this->total("deadly_runs");
+    this->check_refused(this->requests_in_turn(12, deadly_parts), before);
+}
+
 TEST_CASE_METHOD(quarantine,
                  "workers that crash for other reasons, block no part")
 {
--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -7,6 +7,7 @@
 #include "errors/failure.hpp"
 #include "node_settings.hpp"
 #include "operator_entries.hpp"
+#include "prompt_parts.hpp"
 
 using namespace amaranthhatch;
 using namespace std::chrono_literals;
@@ -47,6 +48,20 @@
 
 } // namespace
 
+TEST_CASE("prompt, parts in order, gives those that requests share")
+{
+    using parts = std::vector<std::uint64_t>;
+    CHECK(platform::decode_shared_parts("5c1e07a2:800,91bd3f06:410,e4:250") ==
+          parts{0x5c1e07a2, 0x91bd3f06});
+    CHECK(platform::decode_shared_parts("5c1e07a2:800").empty());
+    CHECK(platform::decode_shared_parts("").empty());
+    CHECK(platform::decode_shared_parts("0A:1, a:2,b:3") == parts{10, 10});
+    // Ids that can't be read still tell parts apart.
+    auto odd = platform::decode_shared_parts("no-number:1,:,,x");
+    CHECK(odd.size() == 3);
+    CHECK(odd[0] != odd[1]);
+}
+
 TEST_CASE("platform settings, the sample, are read; unknown fields ignored")
 {
     auto read = platform::read_node_settings(std::string(HATCH_CASES) +
