--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -3,6 +3,7 @@
 #include <optional>
 
 #include "platform_fleet.hpp"
+#include "raw_server.hpp"
 #include "store_client.hpp"
 
 using namespace amaranthhatch;
@@ -139,6 +140,19 @@
     CHECK(this->write("a/2", "x", 0, granted.lease).result == outcome::missing);
 }
 
+TEST_CASE_METHOD(store_contract, "store client, connection closed after a "
+                                 "write, doesn't say that nothing was done")
+{
+    auto answer = GENERATE("", "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n{",
+                           "HTTP/1.1 503 Busy\r\nContent-Length: 9\r\n\r\n");
+    INFO(answer);
+    tests::raw_server closing(answer);
+    this->client->set_address(closing.address());
+    CHECK(this->write("k", "one", 0).result == outcome::unknown);
+    CHECK(this->grant(10000ms).result == outcome::unknown);
+    CHECK(closing.served() == 2);
+}
+
 TEST_CASE_METHOD(store_contract, "store client, failures, are told apart")
 {
     fleet::admin(this->fleet.store, {{"lose_answers", 1}});
