forward: Take a stream that closes before its first event for broken off

Cause: an answer without a length ends with its connection, so the end of the connection was taken for its end, whatever had come by then.

Change: such a stream that has sent no event is treated as closed: repeated where it may be, else 502; the item runs again. An answer without a length clears no part of its prompt.

--- a/source/batches/item_run.cpp
+++ b/source/batches/item_run.cpp
@@ -71,6 +71,7 @@
         return false;
     this->scheduler.runtime.endpoints().progress(this->run, host::boot_now());
     this->status = status_code;
+    this->framed = http::is_framed(headers);
     this->not_run = !headers.get(names.not_run).empty() || status_code == 421;
     bool usable = !headers.get(names.signature).empty() &&
                   headers.get("Content-Encoding").empty();
@@ -139,6 +140,12 @@
 {
     if (this->state != run_state::running)
         return;
+    bool success = this->status >= 200 && this->status < 300;
+    bool closed_before_first_event = call_result == http::call_end::complete &&
+                                     success && !this->framed &&
+                                     this->prompt.events == 0;
+    if (closed_before_first_event)
+        call_result = http::call_end::closed;
     if (call_result == http::call_end::not_sent)
         return this->finish(run_state::retry, run_outcome::unreachable, detail);
     if (call_result == http::call_end::closed)
@@ -154,7 +161,7 @@
     if (this->status == 422)
         return this->finish(run_state::impossible, run_outcome::answered,
                             "422");
-    if (this->status >= 200 && this->status < 300)
+    if (success)
     {
         bool complete = this->events.incomplete_event().empty();
         return complete ? this->finish(run_state::complete,
--- a/source/batches/item_run.hpp
+++ b/source/batches/item_run.hpp
@@ -91,6 +91,8 @@
     core::instant last_event{};
     std::size_t event_count = 0;
     int status = 0;
+    /// True if the response shows its end by a length or chunks.
+    bool framed = false;
     bool not_run = false;
     bool has_stalled = false;
     bool ended_at_start = false;
--- a/source/forward/online_request.cpp
+++ b/source/forward/online_request.cpp
@@ -185,6 +185,7 @@
     this->sent = now;
     this->last_event_at = now;
     this->status = 0;
+    this->framed = false;
     this->not_run = false;
     this->unusable_reason.clear();
     this->response_body.clear();
@@ -211,6 +212,7 @@
     this->runtime.endpoints().progress(this->run, host::boot_now());
     this->status = status_code;
     this->headers = response_headers;
+    this->framed = http::is_framed(response_headers);
     this->not_run = !response_headers.get(this->names.not_run).empty() ||
                     status_code == 421;
     bool success = status_code >= 200 && status_code < 300;
@@ -286,6 +288,15 @@
     this->end_run(result);
 }
 
+// An endpoint that crashes as it begins a stream without a length ends the
+// response as one that is complete.
+bool online_request::closed_before_first_event(http::call_end end) const
+{
+    bool success = this->status >= 200 && this->status < 300;
+    return end == http::call_end::complete && is_stream(this->route) &&
+           success && !this->framed && this->prompt.events == 0;
+}
+
 void online_request::on_end(http::call_end end, std::string_view detail)
 {
     if (this->phase != call_state::running)
@@ -304,6 +315,11 @@
         this->excluded_endpoints.push_back(this->last_endpoint);
         return this->on_not_run();
     }
+    if (this->closed_before_first_event(end))
+    {
+        end = http::call_end::closed;
+        reason = "closed before the first event";
+    }
     this->possible_runs++;
     bool complete = end == http::call_end::complete &&
                     this->unusable_reason.empty() &&
@@ -315,7 +331,8 @@
     if (complete)
     {
         bool generated = this->status >= 200 && this->status < 300 &&
-                         (!is_stream(this->route) || this->prompt.events > 0);
+                         (!is_stream(this->route) ||
+                          (this->framed && this->prompt.events > 0));
         if (generated)
             this->runtime.quarantine().record_answer(this->prompt);
         return this->on_complete();
--- a/source/forward/online_request.hpp
+++ b/source/forward/online_request.hpp
@@ -54,6 +54,7 @@
     compose_request(const core::endpoints::endpoint& chosen) const;
     void record_event(core::instant now);
     void abandon_call(std::string_view reason);
+    bool closed_before_first_event(http::call_end end) const;
     void forward_events(std::string_view piece);
     void on_complete();
     void on_not_run();
@@ -108,6 +109,9 @@
     bool preempts_batch = false;
     int status = 0;
     http::header_list headers;
+    /// True if the response shows its end by a length or chunks; without them
+    /// the end of the connection ends it.
+    bool framed = false;
     /// True if the endpoint responded that it did not run the request.
     bool not_run = false;
     /// Why the response can't be forwarded to the caller; empty if it can.
--- a/source/http/exchange.cpp
+++ b/source/http/exchange.cpp
@@ -26,6 +26,12 @@
     return {};
 }
 
+bool is_framed(const header_list& headers)
+{
+    return !headers.get("Content-Length").empty() ||
+           !headers.get("Transfer-Encoding").empty();
+}
+
 std::string_view query_value(std::string_view query, std::string_view key)
 {
     while (!query.empty())
--- a/tests/platform/online_path_test.cpp
+++ b/tests/platform/online_path_test.cpp
@@ -5,6 +5,7 @@
 #include <thread>
 
 #include "platform_fleet.hpp"
+#include "raw_server.hpp"
 
 using namespace amaranthhatch;
 using namespace std::chrono_literals;
@@ -223,6 +224,31 @@
         10s));
 }
 
+TEST_CASE_METHOD(online_path,
+                 "stream without a length, closed before its first "
+                 "event, is not given as complete")
+{
+    this->fleet.drop_worker(0);
+    this->fleet.drop_worker(1);
+    tests::raw_server closing("HTTP/1.1 200 OK\r\nResponse-Signature: s\r\n"
+                              "Content-Type: text/event-stream\r\n"
+                              "Connection: close\r\n\r\n");
+    nlohmann::json entry = {{"service", "pool"}, {"address", closing.address()},
+                            {"zone", "zone-a"},  {"slots", 4},
+                            {"state", "ready"},  {"sequence", 1}};
+    fleet::admin(this->fleet.store,
+                 {{"set", {{"servers/i-raw", entry.dump()}}}});
+    http::reply reply;
+    REQUIRE(fleet::eventually(
+        [&]
+        {
+            reply = this->fleet.call(0, "POST", "/once/x", "r1", "b");
+            return closing.served() > 0;
+        },
+        5s));
+    CHECK(reply.status == 502);
+}
+
 TEST_CASE_METHOD(online_path, "caller leaves, its worker stops soon")
 {
     this->switch_workers({{"events", 1000}, {"event_ms", 20}});
