--- a/tests/core/server_stop_test.cpp
+++ b/tests/core/server_stop_test.cpp
@@ -1,12 +1,15 @@
 #include <catch2/catch.hpp>
 
+#include <csignal>
 #include <string>
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include "host/graceful_stop.hpp"
 #include "http/async_server.hpp"
 
 using namespace amaranthhatch;
@@ -146,3 +149,75 @@
     kept.read_some(boost::asio::buffer(&byte, 1), error);
     CHECK(error == boost::asio::error::eof);
 }
+
+namespace
+{
+
+/// @brief A host that is told to stop, whose endpoint takes longer than its
+/// loop goes on once nothing is awaited.
+struct stopping_host : stopping_server
+{
+    stopping_host() : endpoint_answers(this->loop), arrives(this->loop)
+    {
+        this->server.reset();
+        this->server = std::make_unique<http::async_server>(
+            this->loop, "127.0.0.1:" + std::to_string(this->endpoint.port()),
+            [] { return http::server_limits(); },
+            [this](const std::shared_ptr<http::server_exchange>& exchange)
+            {
+                this->handled++;
+                this->endpoint_answers.expires_after(200ms);
+                this->endpoint_answers.async_wait(
+                    [exchange](boost::system::error_code)
+                    { exchange->respond(200, {}, "done"); });
+            });
+        this->settings.grace = 2000ms;
+    }
+
+    /// @brief Stops the host; the text arrives some time after the signal.
+    std::string stop_while(tcp::socket& socket, const std::string& text,
+                           std::chrono::milliseconds after)
+    {
+        host::graceful_stop stop(this->loop, this->settings, 0ms,
+                                 {[this]
+                                  { this->server->close_after_responses(); },
+                                  [this] { this->server->stop_listening(); },
+                                  [this] { return !this->server->busy(); },
+                                  {}});
+        this->arrives.expires_after(after);
+        this->arrives.async_wait(
+            [&](boost::system::error_code error)
+            {
+                boost::system::error_code ignored;
+                if (!error)
+                    boost::asio::write(socket, boost::asio::buffer(text),
+                                       ignored);
+            });
+        std::raise(SIGTERM);
+        this->run(3000ms);
+        this->arrives.cancel();
+        std::string answer(4096, '\0');
+        boost::system::error_code error;
+        socket.non_blocking(true);
+        auto count = socket.read_some(boost::asio::buffer(answer), error);
+        return answer.substr(0, error ? 0 : count);
+    }
+
+    host::host_settings settings;
+    boost::asio::steady_timer endpoint_answers;
+    boost::asio::steady_timer arrives;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(stopping_host,
+                 "host, told to stop while a request arrives, ends after its "
+                 "answer")
+{
+    auto slow = this->connect();
+    this->write(slow, whole_request.substr(0, 20));
+    this->run(50ms);
+    auto answer = this->stop_while(slow, whole_request.substr(20), 20ms);
+    CHECK(this->handled == 1);
+    CHECK(answered(answer));
+}
