--- a/tests/core/server_stop_test.cpp
+++ b/tests/core/server_stop_test.cpp
@@ -221,3 +221,15 @@
     CHECK(this->handled == 1);
     CHECK(answered(answer));
 }
+
+// A request that comes on a connection that was silent so far, once the host
+// has found nothing to wait for, may be turned away but not taken and cut.
+TEST_CASE_METHOD(stopping_host,
+                 "host, told to stop, a request comes as it ends, answers what "
+                 "it takes")
+{
+    auto silent = this->connect();
+    this->run(120ms);
+    auto answer = this->stop_while(silent, whole_request, 225ms);
+    CHECK((this->handled == 0 || answered(answer)));
+}
