http: Close silent connections before a stopping process ends

Cause: what the process waits for and what it closes were decided at different times. Connections were closed when idle once, as the server stopped; what became idle later stayed open.

Change: a stopped server closes what is idle every 20 ms and is busy while any connection is open. A response that is being written counts, too.

--- a/source/http/async_server.cpp
+++ b/source/http/async_server.cpp
@@ -33,6 +33,8 @@
 // Interval at which the time limits of connections are checked. The limits are
 // whole seconds, so that a quarter second is accurate enough.
 constexpr std::chrono::milliseconds sweep_interval{250};
+// The same once the server stops, as the process waits for the last ones.
+constexpr std::chrono::milliseconds stopping_sweep_interval{20};
 // A caller that leaves more than this unread is disconnected; it is twice the
 // largest read.
 constexpr std::size_t unsent_limit_bytes = 8u << 20;
@@ -86,6 +88,7 @@
     void close();
     void close_if_idle();
     bool busy() const;
+    bool is_closed() const { return this->closed; }
     void check_time(steady::time_point now);
 
     const request& received_request() const override { return this->current; }
@@ -414,7 +417,8 @@
     bool unread = this->buffer.size() > 0 || this->socket.available(error) > 0;
     bool awaited =
         this->fresh && steady::now() - this->accepted_at < first_request_wait;
-    return this->counted || this->head_seen || unread || awaited;
+    return this->counted || this->head_seen || unread || awaited ||
+           !this->sending.empty();
 }
 
 void async_server::session::close_if_idle()
@@ -465,7 +469,8 @@
 
 void async_server::state::sweep(const std::shared_ptr<state>& self)
 {
-    this->timer.expires_after(sweep_interval);
+    this->timer.expires_after(self->stopped ? stopping_sweep_interval
+                                            : sweep_interval);
     this->timer.async_wait(
         [self](error_code error)
         {
@@ -476,7 +481,11 @@
             for (session* open_session : self->sessions)
                 open.push_back(open_session->shared_from_this());
             for (const auto& open_session : open)
+            {
                 open_session->check_time(now);
+                if (self->stopped)
+                    open_session->close_if_idle();
+            }
             self->sweep(self);
         });
 }
@@ -523,12 +532,17 @@
         open.push_back(open_session->shared_from_this());
     for (const auto& open_session : open)
         open_session->close_if_idle();
+    this->held->sweep(this->held);
 }
 
 bool async_server::busy() const
 {
+    // Once stopped, a connection that is open could still bring a request that
+    // nobody would wait for.
+    bool stopped = this->held->stopped;
     return std::any_of(this->held->sessions.begin(), this->held->sessions.end(),
-                       [](const session* open) { return open->busy(); });
+                       [stopped](const session* each)
+                       { return stopped ? !each->is_closed() : each->busy(); });
 }
 
 std::size_t async_server::in_flight() const
