host: Narrow what counts as a crash by a prompt part, and tell late hosts

A deadly part whose requests come in pairs was never quarantined (80 crashes); with a service that is down while another one answers, the first part of its requests was blocked for 299 s; a host that was cut off for 3 s went on refusing a part that the others had cleared; a garbled age kept a report for ever.

Causes: any explanation of two crashes hid a wider one; answers of all services counted as "others are answered"; a clearing was sent for two seconds and nobody told the sender of an older version; ages weren't bounded; a full table refused the report that widens what is blocked; a report's identity lacked the endpoint's incarnation; each beacon and answer rebuilt everything.

Change: only an explanation that is strong enough to be quarantined hides others; reports name the service and only its answers count; an older version that arrives makes its holder send again; ages and marks are bounded; closes of several endpoints within 20 ms at one host are one crash, and so is none after a head that isn't success; reports from the store don't change what is known; the table is rebuilt on changes. A stream without a length that ends inside an event counts as closed.

--- a/source/batches/item_run.cpp
+++ b/source/batches/item_run.cpp
@@ -29,7 +29,7 @@
 {
     const auto* log = scheduler.jobs.find(this->job_id);
     this->accepted_record = log->records().front();
-    this->prompt = {content.id, chosen.id, chosen.started_ms,
+    this->prompt = {content.id, chosen.id, chosen.started_ms, chosen.service,
                     scheduler.shared_parts(content)};
 }
 
@@ -141,16 +141,17 @@
     if (this->state != run_state::running)
         return;
     bool success = this->status >= 200 && this->status < 300;
-    bool closed_before_first_event = call_result == http::call_end::complete &&
-                                     success && !this->framed &&
-                                     this->prompt.events == 0;
-    if (closed_before_first_event)
+    bool closed_inside_event =
+        call_result == http::call_end::complete && success && !this->framed &&
+        (this->prompt.events == 0 || !this->events.incomplete_event().empty());
+    if (closed_inside_event)
         call_result = http::call_end::closed;
     if (call_result == http::call_end::not_sent)
         return this->finish(run_state::retry, run_outcome::unreachable, detail);
     if (call_result == http::call_end::closed)
         this->ended_at_start =
-            this->scheduler.runtime.quarantine().record_close(this->prompt);
+            this->scheduler.runtime.quarantine().record_close(this->prompt,
+                                                              this->status);
     if (call_result != http::call_end::complete)
         return this->finish(run_state::retry, run_outcome::broken, detail);
     if (this->not_run)
@@ -164,6 +165,8 @@
     if (success)
     {
         bool complete = this->events.incomplete_event().empty();
+        if (complete && this->framed && this->prompt.events > 0)
+            this->scheduler.runtime.quarantine().record_answer(this->prompt);
         return complete ? this->finish(run_state::complete,
                                        run_outcome::answered, "")
                         : this->finish(run_state::retry, run_outcome::broken,
--- a/source/core/quarantine/crash_report.hpp
+++ b/source/core/quarantine/crash_report.hpp
@@ -26,6 +26,8 @@
     /// Identifies the endpoint's incarnation; equal for all runs that one crash
     /// has ended.
     std::uint64_t endpoint = 0;
+    /// Identifies the service of the endpoint.
+    std::uint64_t service = 0;
     /// At most max_tracked_parts.
     std::vector<part_id> parts;
     /// A bit for each part that another request has been answered with since.
--- a/source/core/quarantine/part_quarantine.cpp
+++ b/source/core/quarantine/part_quarantine.cpp
@@ -70,7 +70,7 @@
 bool part_quarantine::accepts(const crash_report& report) const
 {
     if (report.parts.empty() || report.parts.size() > max_tracked_parts ||
-        report.age >= this->bounds.duration)
+        report.age < milliseconds(0) || report.age >= this->bounds.duration)
         return false;
     return std::any_of(
         report.parts.begin(), report.parts.end(),
@@ -81,8 +81,11 @@
                 same.begin(), same.end(),
                 [&](const record* each)
                 { return each->report.endpoint == report.endpoint; });
-            return uncleared_index(report, part) &&
-                   (same.size() < this->bounds.reports_per_part ||
+            if (!uncleared_index(report, part))
+                return false;
+            bool widens = !same.empty() &&
+                          !contains_all(report.parts, common_parts(same));
+            return (same.size() < this->bounds.reports_per_part || widens ||
                     (new_endpoint &&
                      this->crashed_endpoints(part) < this->bounds.crashes));
         });
@@ -91,6 +94,9 @@
 void part_quarantine::add(crash_report report, instant now)
 {
     this->make_room();
+    // Marks of parts that don't exist come from a garbled message.
+    report.cleared &= all_bits(report.parts.size());
+    report.confirmed &= all_bits(report.parts.size());
     auto run = report.run;
     auto crashed_at = now - report.age;
     this->records[run] = {std::move(report), crashed_at, now};
@@ -107,9 +113,14 @@
     return true;
 }
 
-void part_quarantine::record_answer(std::span<const part_id> parts, instant now)
+void part_quarantine::record_answer(std::span<const part_id> parts,
+                                    std::uint64_t service, instant now)
 {
-    this->answers++;
+    if (parts.empty())
+        return;
+    if (this->records.empty())
+        return this->answers.clear();
+    this->answers[service]++;
     bool changed = false;
     for (auto& [run, stored] : this->records)
         for (auto part : parts)
@@ -134,19 +145,26 @@
         return this->rebuild();
     }
     auto& stored = found->second;
-    if (stored.report.parts != report.parts)
+    if (stored.report.parts != report.parts || report.age < milliseconds(0))
         return;
-    // A report gets younger on its way by the time that it takes.
-    stored.crashed_at = std::min(stored.crashed_at, now - report.age);
-    auto cleared = stored.report.cleared | report.cleared;
-    auto confirmed = stored.report.confirmed | report.confirmed;
+    // The age leaves out the time of transit, so the earliest estimate is the
+    // closest.
+    stored.crashed_at = std::max(std::min(stored.crashed_at, now - report.age),
+                                 now - this->bounds.duration);
+    auto known = all_bits(report.parts.size());
+    auto cleared = stored.report.cleared | (report.cleared & known);
+    auto confirmed = stored.report.confirmed | (report.confirmed & known);
+    // The sender of an older version, such as a host that was cut off, is told.
+    bool sender_behind =
+        cleared != report.cleared || confirmed != report.confirmed;
     bool changed = cleared != stored.report.cleared ||
                    confirmed != stored.report.confirmed;
+    if (changed || sender_behind)
+        stored.changed_at = now;
     if (!changed)
         return;
     stored.report.cleared = cleared;
     stored.report.confirmed = confirmed;
-    stored.changed_at = now;
     this->rebuild();
 }
 
@@ -248,19 +266,40 @@
     return out;
 }
 
+std::uint64_t part_quarantine::answers_beside(part_id part) const
+{
+    std::set<std::uint64_t> services;
+    for (const auto* stored : this->uncleared_records(part))
+        services.insert(stored->report.service);
+    std::uint64_t sum = 0;
+    for (auto service : services)
+        if (auto found = this->answers.find(service);
+            found != this->answers.end())
+            sum += found->second;
+    return sum;
+}
+
+// Takes the explanations that fewest requests match first. Each explains its
+// crashes for those after it: a part that many requests share is then suspected
+// only for the crashes that are left, and later.
 void part_quarantine::rebuild()
 {
     this->blocked.clear();
     this->suspected.clear();
     this->several.clear();
     std::set<std::uint64_t> explained;
+    // Crashes whose explanation is strong enough to be quarantined itself.
+    std::set<std::uint64_t> settled;
     for (const auto& each : this->explanations())
     {
         auto unexplained = static_cast<std::size_t>(
             std::count_if(each.endpoints.begin(), each.endpoints.end(),
                           [&](std::uint64_t endpoint)
                           { return !explained.contains(endpoint); }));
-        if (unexplained == 0)
+        bool needless =
+            std::includes(settled.begin(), settled.end(),
+                          each.endpoints.begin(), each.endpoints.end());
+        if (needless)
             continue;
         bool wide = unexplained < each.endpoints.size() &&
                     unexplained < this->bounds.crashes;
@@ -271,6 +310,7 @@
         }
         if (each.endpoints.size() < this->bounds.crashes)
             continue;
+        settled.insert(each.endpoints.begin(), each.endpoints.end());
         for (auto part : each.common)
         {
             // A part of more requests has an explanation of its own.
@@ -285,32 +325,41 @@
 
 void part_quarantine::update(instant now)
 {
-    std::erase_if(this->records,
-                  [&](const auto& each)
-                  {
-                      const auto& stored = each.second;
-                      bool needed = !entirely_cleared(stored.report) ||
-                                    stored.report.confirmed != 0;
-                      auto kept = needed ? this->bounds.duration : cleared_time;
-                      return now - stored.crashed_at >= kept;
-                  });
-    this->rebuild();
+    auto removed =
+        std::erase_if(this->records,
+                      [&](const auto& each)
+                      {
+                          const auto& stored = each.second;
+                          bool needed = !entirely_cleared(stored.report) ||
+                                        stored.report.confirmed != 0;
+                          auto kept =
+                              needed ? this->bounds.duration : cleared_time;
+                          return now - stored.crashed_at >= kept;
+                      });
+    if (removed > 0)
+        this->rebuild();
     std::erase_if(this->candidates, [&](const auto& each)
                   { return !this->suspected.contains(each.first); });
-    for (auto [part, wide] : std::map(this->suspected))
+    bool confirmed_some = false;
+    for (auto [part, wide] : this->suspected)
     {
         const auto& found =
-            this->candidates.try_emplace(part, candidate{now, this->answers})
+            this->candidates
+                .try_emplace(part, candidate{now, this->answers_beside(part)})
                 .first->second;
         bool settled = now - found.since >= (wide ? this->bounds.wide_settle
                                                   : this->bounds.settle) &&
-                       this->answers - found.answers_before >=
+                       this->answers_beside(part) - found.answers_before >=
                            (wide ? this->bounds.wide_other_answers
                                  : this->bounds.other_answers);
         if (settled && !this->confirmed(part))
+        {
             this->confirm(part, now);
+            confirmed_some = true;
+        }
     }
-    this->rebuild();
+    if (confirmed_some)
+        this->rebuild();
 }
 
 bool part_quarantine::suspects(std::span<const part_id> parts) const
--- a/source/core/quarantine/part_quarantine.hpp
+++ b/source/core/quarantine/part_quarantine.hpp
@@ -42,8 +42,9 @@
         /// The same for a part whose crashes are mostly explained by it and
         /// another part together.
         milliseconds wide_settle{2500};
-        /// Answers to requests without the part in that time. Without them the
-        /// endpoints may be down for another reason.
+        /// Answers of the crashed endpoints' services to requests without the
+        /// part in that time. Without them the endpoints may be down for
+        /// another reason.
         std::uint64_t other_answers = 4;
         std::uint64_t wide_other_answers = 12;
         /// A report counts for this time after the crash.
@@ -60,8 +61,10 @@
     /// @brief Adds a crash that this host has seen; false if it is ignored.
     bool record_crash(crash_report report, instant now);
 
-    /// @brief Clears the parts of a request that an endpoint answers.
-    void record_answer(std::span<const part_id> parts, instant now);
+    /// @brief Clears the parts of a request that an endpoint of a service
+    /// answers.
+    void record_answer(std::span<const part_id> parts, std::uint64_t service,
+                       instant now);
 
     /// @brief Merges another host's version of a report.
     void merge(const crash_report& report, instant now);
@@ -69,6 +72,11 @@
     /// @brief Confirms causes and removes old reports; to be called often.
     void update(instant now);
 
+    bool contains(std::uint64_t run) const
+    {
+        return this->records.contains(run);
+    }
+
     /// @brief Returns for how long a request with these parts stays blocked;
     /// nothing if it isn't.
     std::optional<milliseconds> blocked_for(std::span<const part_id> parts,
@@ -127,6 +135,7 @@
     std::size_t crashed_endpoints(part_id part) const;
     bool confirmed(part_id part) const;
     void confirm(part_id part, instant now);
+    std::uint64_t answers_beside(part_id part) const;
     static part_set common_parts(std::span<const record* const> records);
     std::vector<explanation> explanations() const;
     crash_report with_age(const record& stored, instant now) const;
@@ -140,7 +149,8 @@
     std::map<part_id, bool> suspected;
     /// The common parts of requests that may have caused several crashes.
     std::vector<part_set> several;
-    std::uint64_t answers = 0;
+    /// Answers by service.
+    std::map<std::uint64_t, std::uint64_t> answers;
 };
 
 } // namespace amaranthhatch::core::quarantine
--- a/source/forward/online_request.cpp
+++ b/source/forward/online_request.cpp
@@ -81,6 +81,7 @@
         matched.timeout);
     this->deadline = this->arrived_at + std::min(wait_timeout, matched.timeout);
     this->prompt.request = this->request_id;
+    this->prompt.service = this->service;
     this->prompt.parts = names.parse_prompt(
         this->exchange->received_request().headers.get(names.prompt));
 }
@@ -288,13 +289,15 @@
     this->end_run(result);
 }
 
-// An endpoint that crashes as it begins a stream without a length ends the
-// response as one that is complete.
-bool online_request::closed_before_first_event(http::call_end end) const
+// An endpoint that crashes during a stream without a length ends the response
+// as one that is complete.
+bool online_request::closed_inside_event(http::call_end end) const
 {
     bool success = this->status >= 200 && this->status < 300;
     return end == http::call_end::complete && is_stream(this->route) &&
-           success && !this->framed && this->prompt.events == 0;
+           success && !this->framed &&
+           (this->prompt.events == 0 ||
+            !this->events.incomplete_event().empty());
 }
 
 void online_request::on_end(http::call_end end, std::string_view detail)
@@ -315,10 +318,10 @@
         this->excluded_endpoints.push_back(this->last_endpoint);
         return this->on_not_run();
     }
-    if (this->closed_before_first_event(end))
+    if (this->closed_inside_event(end))
     {
         end = http::call_end::closed;
-        reason = "closed before the first event";
+        reason = "closed inside an event";
     }
     this->possible_runs++;
     bool complete = end == http::call_end::complete &&
@@ -326,13 +329,13 @@
                     this->events.incomplete_event().empty();
     this->end_run(complete ? run_outcome::answered : run_outcome::broken);
     if (end == http::call_end::closed &&
-        this->runtime.quarantine().record_close(this->prompt))
+        this->runtime.quarantine().record_close(this->prompt, this->status))
         this->suspected_until = host::boot_now() + suspicion_limit;
     if (complete)
     {
         bool generated = this->status >= 200 && this->status < 300 &&
-                         (!is_stream(this->route) ||
-                          (this->framed && this->prompt.events > 0));
+                         this->framed &&
+                         (!is_stream(this->route) || this->prompt.events > 0);
         if (generated)
             this->runtime.quarantine().record_answer(this->prompt);
         return this->on_complete();
--- a/source/forward/online_request.hpp
+++ b/source/forward/online_request.hpp
@@ -54,7 +54,7 @@
     compose_request(const core::endpoints::endpoint& chosen) const;
     void record_event(core::instant now);
     void abandon_call(std::string_view reason);
-    bool closed_before_first_event(http::call_end end) const;
+    bool closed_inside_event(http::call_end end) const;
     void forward_events(std::string_view piece);
     void on_complete();
     void on_not_run();
--- a/source/host/quarantine_entries.cpp
+++ b/source/host/quarantine_entries.cpp
@@ -36,7 +36,7 @@
     if (!stored.key.starts_with(this->prefix))
         return;
     if (auto reports = peers::unpack_crashes(stored.value, wall_now_ms()))
-        this->quarantine.merge(*reports);
+        this->quarantine.load(*reports);
 }
 
 void quarantine_entries::save(const store::mirror& listed)
--- a/source/host/shared_quarantine.cpp
+++ b/source/host/shared_quarantine.cpp
@@ -18,6 +18,9 @@
 // An endpoint that crashes on a prompt does so as it begins to generate. It may
 // have sent one event by then.
 constexpr std::uint32_t events_of_sound_run = 2;
+// Connections to several endpoints that close within this time have most
+// likely one cause, at this host or on its way to them.
+constexpr core::milliseconds same_cause_time{20};
 
 std::string hex_list(const auto& parts)
 {
@@ -59,21 +62,28 @@
 
 void shared_quarantine::clear(const prompt_run& run)
 {
-    this->table.record_answer(run.parts, boot_now());
+    this->table.record_answer(run.parts, core::hash(run.service), boot_now());
     if (this->table.size() > 0)
         this->check();
 }
 
-bool shared_quarantine::record_close(const prompt_run& run)
+bool shared_quarantine::record_close(const prompt_run& run, int status)
 {
-    if (run.events >= events_of_sound_run || run.parts.empty())
+    bool began = status == 0 || (status >= 200 && status < 300);
+    if (!began || run.events >= events_of_sound_run || run.parts.empty())
         return false;
+    auto now = boot_now();
     core::quarantine::crash_report report;
-    report.run = core::hash(run.request, core::hash(run.endpoint));
     report.endpoint = core::hash(run.endpoint + "/" +
                                  std::to_string(run.endpoint_started_ms));
+    report.run = core::hash(run.request, report.endpoint);
+    report.service = core::hash(run.service);
     report.parts = run.parts;
-    bool recorded = this->table.record_crash(std::move(report), boot_now());
+    if (now - this->last_closed_at < same_cause_time)
+        report.endpoint = this->last_closed_endpoint;
+    this->last_closed_at = now;
+    this->last_closed_endpoint = report.endpoint;
+    bool recorded = this->table.record_crash(std::move(report), now);
     this->metrics.count("hatch_runs_closed_at_start_total", "recorded",
                         recorded ? "yes" : "no");
     if (recorded)
@@ -111,6 +121,16 @@
         this->check();
 }
 
+void shared_quarantine::load(
+    std::span<const core::quarantine::crash_report> reports)
+{
+    auto now = boot_now();
+    for (const auto& report : reports)
+        if (!this->table.contains(report.run))
+            this->table.merge(report, now);
+    this->check();
+}
+
 std::vector<core::quarantine::crash_report>
 shared_quarantine::reports_of(part_id part) const
 {
--- a/source/host/shared_quarantine.hpp
+++ b/source/host/shared_quarantine.hpp
@@ -25,6 +25,7 @@
     std::string request;
     std::string endpoint;
     std::int64_t endpoint_started_ms = 0;
+    std::string service;
     /// The parts of its prompt that other requests can share.
     std::vector<core::quarantine::part_id> parts;
     /// Events with data that the endpoint has sent in this run.
@@ -46,9 +47,9 @@
     void record_answer(const prompt_run& run);
 
     /// @brief Records that the endpoint closed the connection of a run that
-    /// wasn't complete.
+    /// wasn't complete, unless it had sent another status than success.
     /// Returns true if the endpoint had hardly begun to generate.
-    bool record_close(const prompt_run& run);
+    bool record_close(const prompt_run& run, int status);
 
     /// @brief Returns for how long requests with these parts are refused;
     /// nothing if they aren't.
@@ -68,8 +69,9 @@
     /// @brief Merges the reports of another host's beacon.
     void receive(const core::peers::beacon& beacon);
 
-    /// @brief Merges reports from the store.
-    void merge(std::span<const core::quarantine::crash_report> reports);
+    /// @brief Merges reports from the store. Those that are known already are
+    /// left as they are, as their age here depends on no other host's clock.
+    void load(std::span<const core::quarantine::crash_report> reports);
 
     /// @brief The quarantined parts, each with the parts that a blocked request
     /// also contains.
@@ -92,10 +94,14 @@
 
 private:
     void clear(const prompt_run& run);
+    void merge(std::span<const core::quarantine::crash_report> reports);
     void log_changes();
 
     metrics::recorder& metrics;
     core::quarantine::part_quarantine table;
+    /// The crash of the last run that was closed at its start, and when.
+    std::uint64_t last_closed_endpoint = 0;
+    core::instant last_closed_at{-1000000};
     /// Quarantined parts as last logged.
     std::set<core::quarantine::part_id> logged;
 };
--- a/source/peers/packing.cpp
+++ b/source/peers/packing.cpp
@@ -18,6 +18,8 @@
 constexpr std::uint32_t beacon_format = 5;
 // Bounds how long an unreadable or hostile beacon makes its sender look alive.
 constexpr core::milliseconds longest_interval{5000};
+// Older reports of crashes count nowhere.
+constexpr core::milliseconds longest_age{3600000};
 
 struct packed_echo
 {
@@ -46,11 +48,12 @@
 {
     std::uint64_t run = 0;
     std::uint64_t endpoint = 0;
+    std::uint64_t service = 0;
     std::vector<std::uint64_t> parts;
     std::uint32_t cleared = 0;
     std::uint32_t confirmed = 0;
     std::int64_t age_ms = 0;
-    MSGPACK_DEFINE(run, endpoint, parts, cleared, confirmed, age_ms)
+    MSGPACK_DEFINE(run, endpoint, service, parts, cleared, confirmed, age_ms)
 };
 
 struct packed_crashes
@@ -103,18 +106,21 @@
 
 packed_crash to_packed(const core::quarantine::crash_report& report)
 {
-    return {report.run,     report.endpoint,  report.parts,
+    return {report.run,     report.endpoint,  report.service,    report.parts,
             report.cleared, report.confirmed, report.age.count()};
 }
 
 core::quarantine::crash_report from_packed(const packed_crash& packed)
 {
+    auto age_ms =
+        std::clamp<std::int64_t>(packed.age_ms, 0, longest_age.count());
     return {packed.run,
             packed.endpoint,
+            packed.service,
             packed.parts,
             packed.cleared,
             packed.confirmed,
-            core::milliseconds(std::max<std::int64_t>(packed.age_ms, 0))};
+            core::milliseconds(age_ms)};
 }
 
 // Reads the number that may precede a beacon; returns how many bytes it took. A
@@ -229,8 +235,11 @@
     if (!packed)
         return std::nullopt;
     // Clocks of two hosts differ, so the writer's may be ahead.
-    auto elapsed = core::milliseconds(
-        std::max<std::int64_t>(wall_ms - packed->wall_ms, 0));
+    bool readable = packed->wall_ms > 0 && packed->wall_ms <= wall_ms;
+    auto elapsed = readable
+                       ? std::min(core::milliseconds(wall_ms - packed->wall_ms),
+                                  longest_age)
+                       : core::milliseconds(0);
     std::vector<core::quarantine::crash_report> reports;
     for (const auto& each : packed->reports)
     {
