core: Name the quarantine's delays, causes and members for what they hold

Cause: a reviewer who hadn't seen the work stumbled over "wide", "several", "settle", the runtime's member "parts" and over "poisonous" in one test file and "deadly" in another. Change: names alone; the order of evaluation and all bounds stay.

--- a/source/core/quarantine/part_quarantine.cpp
+++ b/source/core/quarantine/part_quarantine.cpp
@@ -286,7 +286,7 @@
 {
     this->blocked.clear();
     this->suspected.clear();
-    this->several.clear();
+    this->repeated_causes.clear();
     std::set<std::uint64_t> explained;
     // Crashes whose explanation is strong enough to be quarantined itself.
     std::set<std::uint64_t> settled;
@@ -301,12 +301,12 @@
                           each.endpoints.begin(), each.endpoints.end());
         if (needless)
             continue;
-        bool wide = unexplained < each.endpoints.size() &&
-                    unexplained < this->bounds.crashes;
-        if (!wide && unexplained >= several_crashes)
+        bool partly_explained = unexplained < each.endpoints.size() &&
+                                unexplained < this->bounds.crashes;
+        if (!partly_explained && unexplained >= several_crashes)
         {
             explained.insert(each.endpoints.begin(), each.endpoints.end());
-            this->several.push_back(each.common);
+            this->repeated_causes.push_back(each.common);
         }
         if (each.endpoints.size() < this->bounds.crashes)
             continue;
@@ -316,7 +316,7 @@
             // A part of more requests has an explanation of its own.
             if (common_parts(this->uncleared_records(part)) != each.common)
                 continue;
-            this->suspected[part] = wide;
+            this->suspected[part] = partly_explained;
             if (this->confirmed(part))
                 this->blocked[part] = each.common;
         }
@@ -341,17 +341,19 @@
     std::erase_if(this->candidates, [&](const auto& each)
                   { return !this->suspected.contains(each.first); });
     bool confirmed_some = false;
-    for (auto [part, wide] : this->suspected)
+    for (auto [part, partly_explained] : this->suspected)
     {
         const auto& found =
             this->candidates
                 .try_emplace(part, candidate{now, this->answers_beside(part)})
                 .first->second;
-        bool settled = now - found.since >= (wide ? this->bounds.wide_settle
-                                                  : this->bounds.settle) &&
-                       this->answers_beside(part) - found.answers_before >=
-                           (wide ? this->bounds.wide_other_answers
-                                 : this->bounds.other_answers);
+        auto delay = partly_explained ? this->bounds.partly_explained_delay
+                                      : this->bounds.confirmation_delay;
+        auto needed = partly_explained ? this->bounds.partly_explained_answers
+                                       : this->bounds.other_answers;
+        bool settled =
+            now - found.since >= delay &&
+            this->answers_beside(part) - found.answers_before >= needed;
         if (settled && !this->confirmed(part))
         {
             this->confirm(part, now);
@@ -364,9 +366,9 @@
 
 bool part_quarantine::suspects(std::span<const part_id> parts) const
 {
-    return std::any_of(this->several.begin(), this->several.end(),
-                       [&](const part_set& common)
-                       { return contains_all(parts, common); });
+    return std::any_of(
+        this->repeated_causes.begin(), this->repeated_causes.end(),
+        [&](const part_set& common) { return contains_all(parts, common); });
 }
 
 std::optional<milliseconds>
--- a/source/core/quarantine/part_quarantine.hpp
+++ b/source/core/quarantine/part_quarantine.hpp
@@ -38,15 +38,15 @@
         /// cause.
         std::size_t crashes = 3;
         /// Time in which an answer can still clear such a part.
-        milliseconds settle{500};
+        milliseconds confirmation_delay{500};
         /// The same for a part whose crashes are mostly explained by it and
         /// another part together.
-        milliseconds wide_settle{2500};
+        milliseconds partly_explained_delay{2500};
         /// Answers of the crashed endpoints' services to requests without the
         /// part in that time. Without them the endpoints may be down for
         /// another reason.
         std::uint64_t other_answers = 4;
-        std::uint64_t wide_other_answers = 12;
+        std::uint64_t partly_explained_answers = 12;
         /// A report counts for this time after the crash.
         milliseconds duration{300000};
         /// Largest number of reports.
@@ -148,7 +148,7 @@
     /// true where other parts explain most of them, too.
     std::map<part_id, bool> suspected;
     /// The common parts of requests that may have caused several crashes.
-    std::vector<part_set> several;
+    std::vector<part_set> repeated_causes;
     /// Answers by service.
     std::map<std::uint64_t, std::uint64_t> answers;
 };
--- a/source/host/host_runtime.cpp
+++ b/source/host/host_runtime.cpp
@@ -18,7 +18,7 @@
 {
 
 constexpr std::size_t part_count = 4;
-constexpr std::string_view hosts_part = "hosts";
+constexpr std::string_view hosts_key = "hosts";
 
 // Longest wait of one watch call. The watched keys change seldom, and TCP
 // keep-alive probes detect a dead connection in the meantime.
@@ -88,8 +88,9 @@
                  {load_expiry, peer_timeout, peer_removal}, this->capacity()),
       table(this->current_settings.zone, this->current_settings.region_of_zone,
             this->peer_hosts),
-      parts(metrics),
-      stored_parts(store, this->parts, this->quarantine_prefix()),
+      prompt_quarantine(metrics),
+      quarantined_parts(store, this->prompt_quarantine,
+                        this->quarantine_prefix()),
       socket(
           loop, this->current_settings.internal_address,
           {this->current_settings.zone, this->current_settings.region,
@@ -97,7 +98,7 @@
           this->peer_hosts, [this] { return this->compose_beacon(); },
           [this](const core::peers::beacon& received)
           {
-              this->parts.receive(received);
+              this->prompt_quarantine.receive(received);
               for (const auto& callback : this->beacon_listeners)
                   callback();
           }),
@@ -117,7 +118,7 @@
                 {},
                 {}});
     // One watch serves the registrations and the quarantined parts.
-    add_mirror({this->layout.system_prefix + std::string(hosts_part),
+    add_mirror({this->layout.system_prefix + std::string(hosts_key),
                 store::mirror_mode::watch,
                 watch_wait,
                 {},
@@ -247,7 +248,7 @@
     beacon.loads = this->table.own_loads();
     for (const auto& mirror : this->mirrors)
         beacon.copies.push_back({mirror->changed(), mirror->as_of()});
-    this->parts.add_to(beacon);
+    this->prompt_quarantine.add_to(beacon);
     for (const auto& extend : this->beacon_extenders)
         extend(beacon);
     return beacon;
@@ -293,13 +294,12 @@
 
 std::string host_runtime::hosts_prefix() const
 {
-    return this->layout.system_prefix + std::string(hosts_part) + "/";
+    return this->layout.system_prefix + std::string(hosts_key) + "/";
 }
 
 std::string host_runtime::quarantine_prefix() const
 {
-    return this->layout.system_prefix + std::string(hosts_part) +
-           "-quarantine/";
+    return this->layout.system_prefix + std::string(hosts_key) + "-quarantine/";
 }
 
 std::string host_runtime::placement_key() const
@@ -320,7 +320,7 @@
     for (const auto& [key, entry] :
          this->mirror_of(mirrored_part::hosts).entries())
     {
-        this->stored_parts.load(entry);
+        this->quarantined_parts.load(entry);
         if (!key.starts_with(prefix))
             continue;
         auto registered = unpack_registration(entry.value);
@@ -351,9 +351,9 @@
 {
     auto now = boot_now();
     this->peer_hosts.expire(now);
-    this->parts.check();
+    this->prompt_quarantine.check();
     if (this->peer_hosts.leads_zone(now))
-        this->stored_parts.save(this->mirror_of(mirrored_part::hosts));
+        this->quarantined_parts.save(this->mirror_of(mirrored_part::hosts));
     // One host of each zone reads the store; the others fetch its copies.
     bool reads_store = this->peer_hosts.reads_for_zone(now);
     for (std::size_t part = 0; part < part_count; part++)
--- a/source/host/host_runtime.hpp
+++ b/source/host/host_runtime.hpp
@@ -86,7 +86,7 @@
     core::peers::peer_table& peers() { return this->peer_hosts; }
     const core::peers::peer_table& peers() const { return this->peer_hosts; }
     core::endpoints::endpoint_table& endpoints() { return this->table; }
-    shared_quarantine& quarantine() { return this->parts; }
+    shared_quarantine& quarantine() { return this->prompt_quarantine; }
     const host_settings& settings() const { return this->current_settings; }
     /// @brief The key of the placement of the jobs' partitions.
     std::string placement_key() const;
@@ -134,8 +134,8 @@
     std::uint64_t own_incarnation;
     core::peers::peer_table peer_hosts;
     core::endpoints::endpoint_table table;
-    shared_quarantine parts;
-    quarantine_entries stored_parts;
+    shared_quarantine prompt_quarantine;
+    quarantine_entries quarantined_parts;
     peers::beacon_socket socket;
     std::vector<std::unique_ptr<store::mirror>> mirrors;
     std::vector<std::vector<change_callback>> listeners;
--- a/tests/platform/quarantine_test.cpp
+++ b/tests/platform/quarantine_test.cpp
@@ -231,7 +231,7 @@
 
 } // namespace
 
-TEST_CASE_METHOD(quarantine, "poisonous part, five crashes later, reaches no "
+TEST_CASE_METHOD(quarantine, "deadly part, five crashes later, reaches no "
                              "worker from any host")
 {
     auto after_head = GENERATE(false, true);
@@ -245,7 +245,7 @@
     this->check_refused(seen, before);
 }
 
-TEST_CASE_METHOD(quarantine, "poisonous part, quarantined, sound requests with "
+TEST_CASE_METHOD(quarantine, "deadly part, quarantined, sound requests with "
                              "its other parts are answered")
 {
     background sound(this->fleet, "/again/x");
@@ -279,7 +279,7 @@
 }
 
 TEST_CASE_METHOD(quarantine,
-                 "poisonous part, quarantined, restarted entry refuses it too")
+                 "deadly part, quarantined, restarted entry refuses it too")
 {
     auto outage = GENERATE(false, true);
     INFO("store away: " << outage);
@@ -300,7 +300,7 @@
     this->check_refused(seen, before);
 }
 
-TEST_CASE_METHOD(quarantine, "poisonous part, quarantined, all hosts restarted "
+TEST_CASE_METHOD(quarantine, "deadly part, quarantined, all hosts restarted "
                              "at once, is refused still")
 {
     {
@@ -347,7 +347,7 @@
     }
 }
 
-TEST_CASE_METHOD(quarantine_of_items, "item with a poisonous part, "
+TEST_CASE_METHOD(quarantine_of_items, "item with a deadly part, "
                                       "quarantined, stays open and isn't run")
 {
     background sound(this->fleet, "/again/x");
