core: Don't confirm a part when another service's answers drop out

What callers would have seen: requests refused for five minutes though their service was down and had answered nothing; found by reading, not seen in a play.

Cause: answers beside a suspected part are summed over the services of its reports. When a report of another service is cleared, the sum falls below what it was, and the unsigned difference became huge.

Test: "endpoints down, a report of another service is cleared, blocks no part" fails before and passes after. Why it works: the sum is compared with the earlier one plus what is needed; nothing is subtracted.

--- a/source/core/quarantine/part_quarantine.cpp
+++ b/source/core/quarantine/part_quarantine.cpp
@@ -353,7 +353,7 @@
                                        : this->bounds.other_answers;
         bool settled =
             now - found.since >= delay &&
-            this->answers_beside(part) - found.answers_before >= needed;
+            this->answers_beside(part) >= found.answers_before + needed;
         if (settled && !this->confirmed(part))
         {
             this->confirm(part, now);
--- a/tests/core/quarantine_test.cpp
+++ b/tests/core/quarantine_test.cpp
@@ -249,6 +249,25 @@
     CHECK(this->table.quarantined().empty());
 }
 
+TEST_CASE_METHOD(quarantine_table,
+                 "endpoints down, a report of another service "
+                 "is cleared, blocks no part")
+{
+    this->deadly_crashes(3);
+    crash_report elsewhere{900, 900, 6, {first_part, subject, deadly},
+                           0,   0,   {}};
+    this->table.record_crash(elsewhere, this->now);
+    for (int at = 0; at < 50; at++)
+        this->table.record_answer(std::vector<part_id>{9}, 6, this->now);
+    this->table.update(this->now);
+    // Another host has cleared that report only.
+    elsewhere.cleared = 7;
+    this->table.merge(elsewhere, this->now);
+    this->now += 1s;
+    this->table.update(this->now);
+    CHECK(this->table.quarantined().empty());
+}
+
 TEST_CASE_METHOD(quarantine_table,
                  "cleared part, a host was cut off meanwhile, is told it later")
 {
