core: Clear crash reports of endpoints that have not crashed

Cause: a closed connection was taken for a crash, and nothing that showed the contrary was looked at. A quarantined part isn't run, so no answer clears it either. Class of fault: an assumption about a peer that no later observation can correct. In the trace four endpoints reset every request for 5.5 s: 878 reports from all hosts, more than the table holds.

An earlier attempt that took any two closes within 0.7 to 2.5 s for a live endpoint failed five tests of the platform's quarantine, as it also cleared crashes of endpoints that are back soon.

Change: reports are cleared when the endpoint takes a request that was sent after the crash, or is still registered, under the same start time, five heartbeats after it. The hosts that read the list of endpoints say the latter, only for a time in which they read it without a failure. An endpoint whose report was unfounded gives no new ones for two seconds. part_quarantined names the crashes, run_closed_at_start the endpoint's incarnation, so that the log says which report keeps a part.

Why it works: a crashed endpoint takes nothing until it is back, which lasts seconds, and is then another incarnation; its registration expires after three silent heartbeats.

Tests: five cases of the core and "workers that reset requests and go on, block no part" (0 of 12 requests served before, 12 after). The stand-in worker came back at once from a crash, under the same registration, which no real one does; it now refuses requests for three seconds as a starting one does. The tests of deadly parts ask for the same as before and pass.

--- a/source/batches/item_run.cpp
+++ b/source/batches/item_run.cpp
@@ -55,6 +55,7 @@
     auto now = host::boot_now();
     this->started = now;
     this->last_event = now;
+    this->prompt.sent_at = now;
     auto& runtime = this->scheduler.runtime;
     this->run = runtime.endpoints().begin(
         this->endpoint_id, core::endpoints::load_kind::batch, now);
--- a/source/core/quarantine/part_quarantine.cpp
+++ b/source/core/quarantine/part_quarantine.cpp
@@ -63,6 +63,16 @@
         { return std::find(parts.begin(), parts.end(), each) != parts.end(); });
 }
 
+// An endpoint that takes a request this long after its crash was reported
+// hasn't crashed: connections that the crash broke are known to be broken.
+constexpr milliseconds notice_time{200};
+// An endpoint that has crashed isn't back within this time; later its
+// registration shows that it has started again.
+constexpr milliseconds shortest_restart{2000};
+// An endpoint that has closed a connection without a crash may go on doing so;
+// its reports aren't taken for this time.
+constexpr milliseconds unfounded_time{2000};
+
 } // namespace
 
 part_quarantine::part_quarantine(limits bounds) : bounds(bounds) {}
@@ -70,7 +80,8 @@
 bool part_quarantine::accepts(const crash_report& report) const
 {
     if (report.parts.empty() || report.parts.size() > max_tracked_parts ||
-        report.age < milliseconds(0) || report.age >= this->bounds.duration)
+        report.age < milliseconds(0) || report.age >= this->bounds.duration ||
+        this->unfounded_at.contains(report.endpoint))
         return false;
     return std::any_of(
         report.parts.begin(), report.parts.end(),
@@ -113,6 +124,56 @@
     return true;
 }
 
+template <class Predicate>
+bool part_quarantine::clear_crashes(Predicate unfounded, instant now)
+{
+    bool changed = false;
+    for (auto& [run, stored] : this->records)
+        if (!entirely_cleared(stored.report) && unfounded(stored))
+        {
+            stored.report.cleared = all_bits(stored.report.parts.size());
+            stored.changed_at = now;
+            changed = true;
+        }
+    if (changed)
+        this->rebuild();
+    return changed;
+}
+
+void part_quarantine::record_alive(std::uint64_t endpoint, instant sent_at,
+                                   instant now)
+{
+    auto unfounded = [&](const record& stored)
+    {
+        auto after_crash = sent_at - stored.crashed_at;
+        return stored.report.endpoint == endpoint &&
+               after_crash >= notice_time && after_crash < shortest_restart;
+    };
+    if (this->clear_crashes(unfounded, now))
+        this->unfounded_at[endpoint] = now;
+}
+
+void part_quarantine::record_registered(std::uint64_t endpoint, instant from,
+                                        instant to, instant now)
+{
+    this->clear_crashes(
+        [&](const record& stored)
+        {
+            return stored.report.endpoint == endpoint &&
+                   stored.crashed_at >= from && stored.crashed_at <= to;
+        },
+        now);
+}
+
+std::set<std::uint64_t> part_quarantine::reported_endpoints() const
+{
+    std::set<std::uint64_t> out;
+    for (const auto& [run, stored] : this->records)
+        if (!entirely_cleared(stored.report))
+            out.insert(stored.report.endpoint);
+    return out;
+}
+
 void part_quarantine::record_answer(std::span<const part_id> parts,
                                     std::uint64_t service, instant now)
 {
@@ -325,6 +386,8 @@
 
 void part_quarantine::update(instant now)
 {
+    std::erase_if(this->unfounded_at, [now](const auto& each)
+                  { return now - each.second >= unfounded_time; });
     auto removed =
         std::erase_if(this->records,
                       [&](const auto& each)
--- a/source/core/quarantine/part_quarantine.hpp
+++ b/source/core/quarantine/part_quarantine.hpp
@@ -66,6 +66,18 @@
     void record_answer(std::span<const part_id> parts, std::uint64_t service,
                        instant now);
 
+    /// @brief Clears an endpoint's crashes that were reported shortly before a
+    /// request was sent to it which it then took: it hasn't crashed.
+    void record_alive(std::uint64_t endpoint, instant sent_at, instant now);
+
+    /// @brief Clears the crashes of a time span for an endpoint whose
+    /// registration has outlasted them: it hasn't crashed.
+    void record_registered(std::uint64_t endpoint, instant from, instant to,
+                           instant now);
+
+    /// @brief The endpoints that have uncleared reports.
+    std::set<std::uint64_t> reported_endpoints() const;
+
     /// @brief Merges another host's version of a report.
     void merge(const crash_report& report, instant now);
 
@@ -128,6 +140,8 @@
     };
 
     bool accepts(const crash_report& report) const;
+    template <class Predicate>
+    bool clear_crashes(Predicate unfounded, instant now);
     void add(crash_report report, instant now);
     void make_room();
     void rebuild();
@@ -149,6 +163,8 @@
     std::map<part_id, bool> suspected;
     /// The common parts of requests that may have caused several crashes.
     std::vector<part_set> repeated_causes;
+    /// When an endpoint's reports were last found unfounded.
+    std::map<std::uint64_t, instant> unfounded_at;
     /// Answers by service.
     std::map<std::uint64_t, std::uint64_t> answers;
 };
--- a/source/forward/online_request.cpp
+++ b/source/forward/online_request.cpp
@@ -196,6 +196,7 @@
     this->prompt.endpoint = chosen.id;
     this->prompt.endpoint_started_ms = chosen.started_ms;
     this->prompt.events = 0;
+    this->prompt.sent_at = now;
     this->run = this->runtime.endpoints().begin(
         chosen.id, core::endpoints::load_kind::online, now);
     this->runtime.load_changed();
--- a/source/host/host_runtime.cpp
+++ b/source/host/host_runtime.cpp
@@ -47,6 +47,9 @@
 // that entries may have expired after an outage of two, which leaves some
 // margin.
 constexpr int expiry_heartbeats = 2;
+// The registration of an endpoint that has crashed is gone by then: it expires
+// after three heartbeats, and the next list call shows that.
+constexpr int crash_heartbeats = 5;
 // Number of reads of the endpoint entries within the drain time, in which hosts
 // have to notice that an endpoint leaves.
 constexpr int reads_in_drain = 3;
@@ -366,6 +369,10 @@
         this->mirrors[part]->set_active(reads_store || always_reads || behind);
         this->follow_peers(part, now);
     }
+    if (const auto& reads = this->mirror_of(mirrored_part::endpoints).reads())
+        this->prompt_quarantine.clear_registered(
+            reads->first,
+            reads->last - this->current_settings.heartbeat * crash_heartbeats);
     bool has_no_configuration =
         this->mirror_of(mirrored_part::configuration).as_of() == 0;
     if (has_no_configuration && this->mirrors[0]->failing())
--- a/source/host/shared_quarantine.cpp
+++ b/source/host/shared_quarantine.cpp
@@ -22,6 +22,11 @@
 // likely one cause, at this host or on its way to them.
 constexpr core::milliseconds same_cause_time{20};
 
+std::uint64_t endpoint_key(std::string_view endpoint, std::int64_t started_ms)
+{
+    return core::hash(std::string(endpoint) + "/" + std::to_string(started_ms));
+}
+
 std::string hex_list(const auto& parts)
 {
     std::string out;
@@ -30,6 +35,16 @@
     return out;
 }
 
+// Each crash as its endpoint's incarnation and its age in milliseconds.
+std::string crash_list(std::span<const core::quarantine::crash_report> reports)
+{
+    std::string out;
+    for (const auto& each : reports)
+        out += (out.empty() ? "" : ",") + hex_text(each.endpoint) + ":" +
+               std::to_string(each.age.count());
+    return out;
+}
+
 } // namespace
 
 std::string hex_text(part_id part)
@@ -62,20 +77,45 @@
 
 void shared_quarantine::clear(const prompt_run& run)
 {
+    if (this->table.size() > 0)
+        this->record_alive(run);
     this->table.record_answer(run.parts, core::hash(run.service), boot_now());
     if (this->table.size() > 0)
         this->check();
 }
 
+void shared_quarantine::record_alive(const prompt_run& run)
+{
+    this->table.record_alive(
+        endpoint_key(run.endpoint, run.endpoint_started_ms), run.sent_at,
+        boot_now());
+}
+
+void shared_quarantine::set_registered(
+    std::span<const core::endpoints::endpoint> listed)
+{
+    this->registered.clear();
+    for (const auto& each : listed)
+        this->registered.insert(endpoint_key(each.id, each.started_ms));
+}
+
+void shared_quarantine::clear_registered(core::instant from, core::instant to)
+{
+    for (auto endpoint : this->table.reported_endpoints())
+        if (this->registered.contains(endpoint))
+            this->table.record_registered(endpoint, from, to, boot_now());
+}
+
 bool shared_quarantine::record_close(const prompt_run& run, int status)
 {
     bool began = status == 0 || (status >= 200 && status < 300);
     if (!began || run.events >= events_of_sound_run || run.parts.empty())
         return false;
+    // It has taken this request, so it hadn't crashed before.
+    this->record_alive(run);
     auto now = boot_now();
     core::quarantine::crash_report report;
-    report.endpoint = core::hash(run.endpoint + "/" +
-                                 std::to_string(run.endpoint_started_ms));
+    report.endpoint = endpoint_key(run.endpoint, run.endpoint_started_ms);
     report.run = core::hash(run.request, report.endpoint);
     report.service = core::hash(run.service);
     report.parts = run.parts;
@@ -83,6 +123,7 @@
         report.endpoint = this->last_closed_endpoint;
     this->last_closed_at = now;
     this->last_closed_endpoint = report.endpoint;
+    auto crash = report.endpoint;
     bool recorded = this->table.record_crash(std::move(report), now);
     this->metrics.count("hatch_runs_closed_at_start_total", "recorded",
                         recorded ? "yes" : "no");
@@ -90,6 +131,7 @@
         logging::event(logging::level::warning, "run_closed_at_start")
             .with("id", run.request)
             .with("endpoint", run.endpoint)
+            .with("crash", hex_text(crash))
             .with("events", run.events)
             .with("parts", hex_list(run.parts));
     return true;
@@ -158,8 +200,7 @@
             logging::event(logging::level::warning, "part_quarantined")
                 .with("part", hex_text(part))
                 .with("with", hex_list(common))
-                .with("crashes",
-                      static_cast<std::int64_t>(this->reports_of(part).size()));
+                .with("crashes", crash_list(this->reports_of(part)));
     std::erase_if(this->logged,
                   [&](part_id part)
                   {
--- a/source/host/shared_quarantine.hpp
+++ b/source/host/shared_quarantine.hpp
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "core/endpoints/endpoint_table.hpp"
 #include "core/peers/beacon.hpp"
 #include "core/quarantine/part_quarantine.hpp"
 #include "metrics/recorder.hpp"
@@ -30,6 +31,7 @@
     std::vector<core::quarantine::part_id> parts;
     /// Events with data that the endpoint has sent in this run.
     std::uint32_t events = 0;
+    core::instant sent_at{};
 };
 
 /// @brief The quarantine of prompt parts that crash endpoints, shared with the
@@ -51,6 +53,14 @@
     /// Returns true if the endpoint had hardly begun to generate.
     bool record_close(const prompt_run& run, int status);
 
+    /// @brief Sets which endpoints are registered at present.
+    void set_registered(std::span<const core::endpoints::endpoint> listed);
+
+    /// @brief Clears the crashes of a time span for the endpoints that are
+    /// still registered; the span ends before the time in which the
+    /// registration of an endpoint that crashed would have expired.
+    void clear_registered(core::instant from, core::instant to);
+
     /// @brief Returns for how long requests with these parts are refused;
     /// nothing if they aren't.
     std::optional<core::milliseconds>
@@ -94,6 +104,7 @@
 
 private:
     void clear(const prompt_run& run);
+    void record_alive(const prompt_run& run);
     void merge(std::span<const core::quarantine::crash_report> reports);
     void log_changes();
 
@@ -102,6 +113,8 @@
     /// The crash of the last run that was closed at its start, and when.
     std::uint64_t last_closed_endpoint = 0;
     core::instant last_closed_at{-1000000};
+    /// Incarnations of the registered endpoints.
+    std::set<std::uint64_t> registered;
     /// Quarantined parts as last logged.
     std::set<core::quarantine::part_id> logged;
 };
--- a/source/store/mirror.cpp
+++ b/source/store/mirror.cpp
@@ -75,6 +75,9 @@
         return this->retry();
     this->record_success();
     this->complete = true;
+    auto now = host::boot_now();
+    this->read_times =
+        read_span{this->read_times ? this->read_times->first : now, now};
     if (listed.revision >= this->as_of_revision)
         this->replace(listed);
     if (this->options.mode == mirror_mode::watch)
@@ -245,6 +248,7 @@
 
 void mirror::retry()
 {
+    this->read_times.reset();
     if (this->failures == 0)
     {
         this->failing_since = host::boot_now();
--- a/source/store/mirror.hpp
+++ b/source/store/mirror.hpp
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
@@ -48,6 +49,12 @@
 public:
     using change_callback = std::function<void()>;
 
+    struct read_span
+    {
+        core::instant first;
+        core::instant last;
+    };
+
     mirror(boost::asio::io_context& loop, async_store& source,
            mirror_options options);
 
@@ -63,7 +70,12 @@
     /// @brief Sets whether this host reads from the store itself.
     ///
     /// If not, the mirror is updated only by adopt().
-    void set_active(bool reads) { this->reads_store = reads; }
+    void set_active(bool reads)
+    {
+        this->reads_store = reads;
+        if (!reads)
+            this->read_times.reset();
+    }
 
     /// @brief Changes the interval, from the next call on.
     void set_interval(core::milliseconds changed)
@@ -89,6 +101,10 @@
     /// @brief True while this host's calls to the store fail.
     bool failing() const { return this->failures > 0; }
 
+    /// @brief The first and the last of this host's successful list calls that
+    /// no failure or pause separates; nothing if it doesn't read the store.
+    const std::optional<read_span>& reads() const { return this->read_times; }
+
 private:
     void list();
     void watch();
@@ -117,6 +133,7 @@
     bool call_pending = false;
     bool reads_store = true;
     core::instant replaced_at{};
+    std::optional<read_span> read_times;
     int failures = 0;
     core::instant failing_since{};
     /// Keys of entries that are retained although the store doesn't list them,
--- a/tests/core/quarantine_test.cpp
+++ b/tests/core/quarantine_test.cpp
@@ -268,6 +268,87 @@
     CHECK(this->table.quarantined().empty());
 }
 
+TEST_CASE_METHOD(quarantine_table,
+                 "endpoints that reset some requests, answer others sent "
+                 "later, block no part")
+{
+    this->deadly_crashes(3);
+    this->now += 300ms;
+    for (std::uint64_t endpoint = 1; endpoint <= 3; endpoint++)
+        this->table.record_alive(endpoint, this->now, this->now);
+    this->answer_others();
+    CHECK(this->table.quarantined().empty());
+}
+
+TEST_CASE_METHOD(quarantine_table,
+                 "endpoints that reset all requests, stay registered, "
+                 "release the part")
+{
+    auto read_from = this->now;
+    this->deadly_crashes(3);
+    auto closed_at = this->now;
+    this->answer_others();
+    REQUIRE(this->blocked({first_part, subject, deadly}));
+    CHECK(this->table.reported_endpoints() == std::set<std::uint64_t>{1, 2, 3});
+    auto clear = [this](instant from, instant to)
+    {
+        for (std::uint64_t endpoint = 1; endpoint <= 3; endpoint++)
+            this->table.record_registered(endpoint, from, to, this->now);
+    };
+    // Registered for too short a time, or not read without a pause.
+    clear(read_from, closed_at - 1ms);
+    clear(closed_at + 1ms, this->now);
+    CHECK(this->blocked({first_part, subject, deadly}));
+    clear(read_from, closed_at);
+    CHECK(this->table.quarantined().empty());
+    CHECK(this->table.reported_endpoints().empty());
+}
+
+TEST_CASE_METHOD(quarantine_table,
+                 "crashed endpoints, runs of before or of the next "
+                 "incarnation, keep the part blocked")
+{
+    this->deadly_crashes(3);
+    auto crashed_at = this->now;
+    this->answer_others();
+    // Sent before the crash, with its report on the way, or to the endpoint's
+    // next incarnation.
+    for (auto sent_at : {crashed_at - 1ms, crashed_at + 100ms, crashed_at + 3s})
+        for (std::uint64_t endpoint = 1; endpoint <= 3; endpoint++)
+            this->table.record_alive(endpoint, sent_at, this->now);
+    CHECK(this->blocked({first_part, subject, deadly}));
+}
+
+TEST_CASE_METHOD(quarantine_table,
+                 "endpoint that reset a request, crashes later, counts again")
+{
+    this->deadly_crashes(3);
+    this->now += 300ms;
+    for (std::uint64_t endpoint = 1; endpoint <= 3; endpoint++)
+        this->table.record_alive(endpoint, this->now, this->now);
+    this->endpoints = 0;
+    this->deadly_crashes(3);
+    CHECK(this->table.reported_endpoints().empty());
+    for (int second = 0; second < 2; second++)
+        this->answer_others();
+    this->endpoints = 0;
+    this->deadly_crashes(3);
+    this->answer_others();
+    CHECK(this->blocked({first_part, subject, deadly}));
+}
+
+TEST_CASE_METHOD(quarantine_table,
+                 "endpoint that resets all requests, doesn't fill the table")
+{
+    this->deadly_crashes(1);
+    this->now += 300ms;
+    this->table.record_alive(1, this->now, this->now);
+    auto before = this->table.size();
+    for (part_id at = 0; at < 100; at++)
+        this->crash(1, {first_part, 1000 + at});
+    CHECK(this->table.size() == before);
+}
+
 TEST_CASE_METHOD(quarantine_table,
                  "cleared part, a host was cut off meanwhile, is told it later")
 {
--- a/tests/platform/quarantine_test.cpp
+++ b/tests/platform/quarantine_test.cpp
@@ -347,6 +347,20 @@
     }
 }
 
+TEST_CASE_METHOD(quarantine,
+                 "workers that reset requests and go on, block no part")
+{
+    this->switch_workers({{"deadly_resets", true}});
+    background sound(this->fleet, "/again/x");
+    this->crash_workers();
+    this->requests_in_turn(12, deadly_parts);
+    this->switch_workers({{"deadly", ""}});
+    std::this_thread::sleep_for(contact);
+    auto seen = this->requests_in_turn(12, deadly_parts);
+    INFO(summary(seen));
+    CHECK(count_status(seen, 200) == 12);
+}
+
 TEST_CASE_METHOD(quarantine_of_items, "item with a deadly part, "
                                       "quarantined, stays open and isn't run")
 {
--- a/tests/standins/standin_platform_worker.cpp
+++ b/tests/standins/standin_platform_worker.cpp
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <charconv>
+#include <chrono>
 #include <filesystem>
 #include <map>
 #include <mutex>
@@ -38,6 +39,10 @@
     std::string deadly;
     /// Whether the crash comes behind the head of the answer.
     bool deadly_after_head = false;
+    /// Whether the worker only closes its connections and goes on.
+    bool deadly_resets = false;
+    /// Until when it starts again after a crash and runs nothing.
+    std::chrono::steady_clock::time_point starting_until;
     int deadly_runs = 0;
     int crashes = 0;
     /// Runs by request id.
@@ -115,9 +120,12 @@
 void crash(worker_state& shared)
 {
     constexpr std::chrono::milliseconds prefill{30};
+    constexpr std::chrono::milliseconds restart{3000};
     std::this_thread::sleep_for(prefill);
     std::lock_guard lock(shared.guard);
     shared.crashes++;
+    if (!shared.deadly_resets)
+        shared.starting_until = std::chrono::steady_clock::now() + restart;
     for (const auto& open :
          std::filesystem::directory_iterator("/proc/self/fd"))
     {
@@ -160,7 +168,9 @@
         auto target = asked.headers.get("Target-Instance");
         if (!target.empty() && target != this->state.id)
             return standins::json_response(421, {{"error", "another"}});
-        if (this->state.full)
+        bool starting =
+            std::chrono::steady_clock::now() < this->state.starting_until;
+        if (this->state.full || starting)
         {
             auto answer = standins::json_response(503, {{"error", "full"}});
             answer.headers.add("Not-Executed", "1");
@@ -260,6 +270,8 @@
             this->state.deadly = change.value("deadly", this->state.deadly);
             this->state.deadly_after_head = change.value(
                 "deadly_after_head", this->state.deadly_after_head);
+            this->state.deadly_resets =
+                change.value("deadly_resets", this->state.deadly_resets);
         }
         return standins::json_response(
             200, {{"runs", this->state.runs},
