batches: Report no job of another partition to an owner

What callers could see: an accepted job read as "no such job".

Cause: a job store that has read no placement yet counts the partitions as 0 and takes all its jobs for jobs of partition 0. A copy that restarts serves internal calls and sends beacons before it has the placement. The owner of partition 0, if it asks for marks in that time, gets those of every job on that disk. Once it serves, it holds the jobs that it lacks for expired and tells the copy to forget them, though they are committed in other partitions, whose owners go on to count that copy. If that copy's host then becomes their owner, or the other copies' disks are lost, the jobs are gone. Before it serves, it takes all these logs over from position 0, and a stale log can replace records of its own log of another partition (read, not shown).

Evidence: "copy, asked for its marks before it has read a placement, keeps the jobs of the other partitions" fails without the change (the job is gone from the copy's store), and "owner, starts while a copy has read no placement, takes over no job of another partition" too (the job is in the owner's store); both pass with it, each in three runs. All 185 cases of core-tests pass.

Ruled out: that an owner in the placement itself lacks a committed job of its partition (all copies have synced what is committed, and reports of a copy count synced records only).

--- a/source/batches/job_store.cpp
+++ b/source/batches/job_store.cpp
@@ -273,6 +273,11 @@
                       response.state))
         return response;
     this->raise_epoch(request.partition, request.epoch);
+    if (this->partitions == 0)
+    {
+        response.state.result = append_response::status::no_placement;
+        return response;
+    }
     std::map<std::string, model::log_mark, std::less<>> owner_marks;
     for (const auto& owner_mark : request.jobs)
         owner_marks[owner_mark.job] = owner_mark.mark;
--- a/source/batches/job_store.hpp
+++ b/source/batches/job_store.hpp
@@ -23,6 +23,8 @@
 {
 public:
     /// @brief Restores the job logs, epochs and item progress from the disk.
+    ///
+    /// partitions is 0 until the host has read a placement.
     job_store(disk_log& disk, std::size_t partitions);
 
     /// @brief Sets the number of partitions; called when the host has read a
@@ -71,7 +73,8 @@
     void handle(const append_request& request,
                 std::function<void(const append_response&)> on_synced);
 
-    /// @brief Responds to a new owner with the marks of this host's logs.
+    /// @brief Responds to a new owner with the marks of this host's logs, or
+    /// with no_placement until the number of partitions is known.
     reconcile_response handle(const reconcile_request& request);
 
     /// @brief Stores events of open items, without waiting for the disk.
--- a/source/batches/records.hpp
+++ b/source/batches/records.hpp
@@ -59,7 +59,10 @@
         stored,
         /// The copy has seen a later epoch of the partition.
         stale_epoch,
-        wrong_disk
+        wrong_disk,
+        /// The copy's host has read no placement since its start, so it can't
+        /// tell which of its jobs belong to the partition.
+        no_placement
     };
     status result = status::stored;
     std::uint64_t epoch = 0;
--- /dev/null
+++ b/tests/core/disk_fleet.cpp
@@ -0,0 +1,195 @@
+#include "disk_fleet.hpp"
+
+#include <stdlib.h>
+
+#include <filesystem>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include "core/hash.hpp"
+#include "host/boot_clock.hpp"
+
+namespace amaranthhatch::tests
+{
+
+using namespace std::chrono_literals;
+namespace model = core::batches;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds tick_interval{20};
+const std::string region = "region";
+
+std::string free_address()
+{
+    using tcp = boost::asio::ip::tcp;
+    boost::asio::io_context loop;
+    tcp::acceptor probe(
+        loop, tcp::endpoint(boost::asio::ip::make_address_v4("127.0.0.1"), 0));
+    return "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+}
+
+host::host_settings owner_settings()
+{
+    host::host_settings settings;
+    settings.name = "owner";
+    settings.zone = "zone-owner";
+    settings.region = region;
+    settings.internal_address = free_address();
+    settings.lost_disks = 2;
+    settings.heartbeat = 1000ms;
+    settings.drain = 1000ms;
+    settings.job_status = 60000ms;
+    return settings;
+}
+
+} // namespace
+
+data_folder::data_folder()
+{
+    this->folder =
+        (std::filesystem::temp_directory_path() / "hatch-disk-XXXXXX").string();
+    mkdtemp(this->folder.data());
+}
+
+data_folder::~data_folder()
+{
+    std::filesystem::remove_all(this->folder);
+}
+
+void placement_store::list(std::string_view prefix, listing_callback done)
+{
+    store::listing listed{store::outcome::done, 1, {}};
+    if (prefix == this->placement_key)
+        listed.entries.push_back(
+            {this->placement_key, batches::placement_text(this->placement), 1});
+    done(listed);
+}
+
+void placement_store::commit(const store::change& wanted, change_callback done)
+{
+    for (const auto& write : wanted.writes)
+        if (write.key == this->placement_key)
+            this->written.push_back(*batches::parse_placement(write.value));
+    done({this->write_outcome, this->written.size() + 1});
+}
+
+copy_host::copy_host(boost::asio::io_context& loop, std::string name)
+    : loop(loop), host_name(std::move(name)), address(free_address())
+{
+    this->start(0);
+}
+
+void copy_host::start(std::size_t partitions)
+{
+    this->incarnation++;
+    this->log =
+        std::make_unique<batches::disk_log>(this->loop, this->folder.path());
+    this->identity = this->log->identity();
+    this->held_jobs =
+        std::make_unique<batches::job_store>(*this->log, partitions);
+    this->server = std::make_unique<http::async_server>(
+        this->loop, this->address, [] { return http::server_limits(); },
+        [this](const std::shared_ptr<http::server_exchange>& exchange)
+        { this->respond(exchange); });
+}
+
+void copy_host::stop()
+{
+    this->server.reset();
+    this->held_jobs.reset();
+    this->log.reset();
+}
+
+void copy_host::respond(const std::shared_ptr<http::server_exchange>& exchange)
+{
+    const auto& request = exchange->received_request();
+    if (request.path == "/batches/reconcile")
+        return exchange->respond(
+            200, {},
+            batches::pack(this->held_jobs->handle(
+                *batches::unpack_reconcile(request.body))));
+    this->held_jobs->handle(
+        *batches::unpack_append(request.body),
+        [exchange](const batches::append_response& response)
+        { exchange->respond(200, {}, batches::pack(response)); });
+}
+
+core::peers::beacon copy_host::beacon(const host::host_runtime& to) const
+{
+    core::peers::beacon beacon;
+    auto now_ms = host::boot_now().count();
+    beacon.name = this->host_name;
+    beacon.incarnation = this->incarnation;
+    beacon.sent_ms = now_ms;
+    beacon.address = this->address;
+    beacon.zone = "zone-" + this->host_name;
+    beacon.region = region;
+    beacon.disk = this->identity;
+    beacon.echoes.push_back(
+        {core::hash(to.settings().name), to.incarnation(), now_ms});
+    return beacon;
+}
+
+disk_fleet::disk_fleet()
+    : runtime(this->loop, this->client, this->metrics, this->store,
+              owner_settings(), {"configuration/", "endpoints/", "system/"},
+              this->disk.identity()),
+      agent(this->runtime, this->jobs, [](const std::string&) {})
+{
+}
+
+model::partition_place
+disk_fleet::owned_place(const std::vector<std::string>& copy_disks) const
+{
+    model::partition_place place{1, this->owner_disk(),
+                                 this->runtime.incarnation(), copy_disks};
+    place.copies.insert(place.copies.begin(), this->owner_disk());
+    return place;
+}
+
+void disk_fleet::start(std::vector<model::partition_place> partitions)
+{
+    this->store.placement_key = this->runtime.placement_key();
+    this->store.placement.partitions = std::move(partitions);
+    this->runtime.start();
+}
+
+void disk_fleet::deliver_beacons()
+{
+    for (const auto* host : {&this->first, &this->second, &this->spare})
+        if (host->heard)
+            this->runtime.peers().receive(host->beacon(this->runtime),
+                                          host::boot_now());
+}
+
+bool disk_fleet::run_until(const std::function<bool()>& condition,
+                           std::chrono::milliseconds limit)
+{
+    auto end = host::boot_now() + limit;
+    while (!condition())
+    {
+        if (host::boot_now() > end)
+            return false;
+        this->deliver_beacons();
+        this->agent.tick();
+        this->loop.restart();
+        this->loop.run_for(tick_interval);
+    }
+    return true;
+}
+
+model::record_ptr accepted_record(const std::string& job, std::uint64_t epoch)
+{
+    auto content = std::make_shared<model::job>();
+    content->id = job;
+    content->submitted_ms = host::wall_now_ms();
+    content->items.resize(1);
+    auto record = std::make_shared<model::record>();
+    record->epoch = epoch;
+    record->accepted = std::move(content);
+    return record;
+}
+
+} // namespace amaranthhatch::tests
--- /dev/null
+++ b/tests/core/placement_agent_test.cpp
@@ -0,0 +1,86 @@
+#include <catch2/catch.hpp>
+
+#include "disk_fleet.hpp"
+
+using namespace amaranthhatch;
+using namespace std::chrono_literals;
+using tests::accepted_record;
+using tests::disk_fleet;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds step_limit{5000};
+
+/// @brief A job id that falls into a partition.
+std::string job_in(std::size_t partition, std::size_t partitions)
+{
+    core::batches::placement placement;
+    placement.partitions.resize(partitions);
+    std::string job = "job";
+    while (placement.partition_of(job) != partition)
+        job += "x";
+    return job;
+}
+
+} // namespace
+
+TEST_CASE_METHOD(disk_fleet,
+                 "copy, asked for its marks before it has read a placement, "
+                 "keeps the jobs of the other partitions")
+{
+    auto job = job_in(1, 2);
+    bool stored = false;
+    this->first.jobs().add(job, {accepted_record(job, 1)},
+                           [&] { stored = true; });
+    REQUIRE(this->run_until([&] { return stored; }, step_limit));
+    this->first.stop();
+    core::batches::partition_place other{
+        1, this->second.disk(), 1, {this->second.disk(), this->first.disk()}};
+    this->start({this->owned_place({this->first.disk()}), other});
+    auto own_job = job_in(0, 2);
+    REQUIRE(this->run_until(
+        [&]
+        {
+            auto owner = this->agent.owner_of(own_job);
+            return owner && owner->serving();
+        },
+        step_limit));
+
+    this->first.start(0);
+    this->first.heard = true;
+    this->run_until([] { return false; }, 500ms);
+    CHECK(this->first.jobs().find(job) != nullptr);
+    CHECK(this->jobs.find(job) == nullptr);
+
+    this->first.jobs().set_partitions(2);
+    auto owner = this->agent.owner_of(own_job);
+    owner->add(own_job, {accepted_record(own_job, 1)});
+    CHECK(this->run_until([&] { return owner->committed(own_job) == 1; },
+                          step_limit));
+    CHECK(this->first.jobs().find(job) != nullptr);
+}
+
+TEST_CASE_METHOD(disk_fleet,
+                 "owner, starts while a copy has read no placement, takes over "
+                 "no job of another partition")
+{
+    auto job = job_in(1, 2);
+    bool stored = false;
+    this->first.jobs().add(job, {accepted_record(job, 1)},
+                           [&] { stored = true; });
+    REQUIRE(this->run_until([&] { return stored; }, step_limit));
+    this->first.heard = true;
+    core::batches::partition_place other{
+        1, this->second.disk(), 1, {this->second.disk(), this->first.disk()}};
+    this->start({this->owned_place({this->first.disk()}), other});
+    auto own_job = job_in(0, 2);
+    REQUIRE(this->run_until(
+        [&]
+        {
+            auto owner = this->agent.owner_of(own_job);
+            return owner && owner->serving();
+        },
+        step_limit));
+    CHECK(this->jobs.find(job) == nullptr);
+}
