batches: Repeat a copy's move until its write's end is known

What callers could see: an accepted job lost when as many disks fail as the deployment bears, or only restart in turn.

Cause: an owner that moves a copy waits for the new disk, too, from the moment it writes the placement. If the write's outcome was unknown, it was remembered only where some owner on the host was suspended for a transfer. Otherwise the next plan was made from the old placement. If the silent copy was back by then, or the lease was short of a beacon, the owner dropped the new disk and committed on the old copies alone, while the store held, or took later, the placement with the new one. Jobs accepted until this host's mirror had the change lay on one disk fewer than the placement names. A takeover by the new copy then lacked them, answered "no such job", and told the others to forget them. More disks than copies are needed, as on the grown sites.

Evidence: "copy's move, its write ends unknown and the old copy is back, commits nothing without the new copy" (a store that takes the write and loses the answer): in three runs of three without the change the job is committed and the new copy has none of it; in three runs of three with the change it has it, and the move ends with the store's answer.

Ruled out: a takeover whose write ends unknown (this host serves nothing before it has read the placement, and the old owner can commit nothing once a copy has seen the new epoch); a write that the store refused or whose condition failed (it never takes effect).

Why it works: an unknown write is remembered also while an owner requires a learner. As for transfers, it is repeated under the same condition, and nothing else is planned, until the store answers or a newer placement is read; so the required disk isn't dropped before.

--- a/source/batches/partition_owner.cpp
+++ b/source/batches/partition_owner.cpp
@@ -146,6 +146,14 @@
     this->replication.set_copies(std::move(required));
 }
 
+bool partition_owner::learner_required() const
+{
+    const auto& required = this->replication.copies();
+    return !this->learner_disk.empty() &&
+           std::find(required.begin(), required.end(), this->learner_disk) !=
+               required.end();
+}
+
 void partition_owner::set_copies(std::vector<std::string> disks)
 {
     this->current_placement.copies = std::move(disks);
--- a/source/batches/partition_owner.hpp
+++ b/source/batches/partition_owner.hpp
@@ -94,6 +94,7 @@
     /// @brief Requires from now on that the learner, too, has synced a record
     /// before the record is committed.
     void require_learner();
+    bool learner_required() const;
 
     /// @brief Applies a changed list of copies within the same epoch.
     void set_copies(std::vector<std::string> disks);
--- a/source/batches/placement_agent.cpp
+++ b/source/batches/placement_agent.cpp
@@ -146,8 +146,8 @@
     this->drop_orphaned_jobs();
     if (this->committing || now < this->commit_after)
         return;
-    if (this->unconfirmed_transfer)
-        return this->commit(model::placement(*this->unconfirmed_transfer));
+    if (this->unconfirmed_change)
+        return this->commit(model::placement(*this->unconfirmed_change));
     this->plan_changes(this->disk_hosts());
 }
 
@@ -200,12 +200,12 @@
     this->runtime.peers().set_partner_disks(std::move(partners));
 }
 
-// Called when no transfer of ownership can be pending any more: this host has a
+// Called when no change of this host can be pending any more: this host has a
 // newer revision of the placement, so that earlier compare-and-swap writes
 // can't take effect, or the store has refused the write.
 void placement_agent::resume_owners()
 {
-    this->unconfirmed_transfer.reset();
+    this->unconfirmed_change.reset();
     for (const auto& [partition, owner] : this->owners)
         owner->resume();
 }
@@ -476,13 +476,15 @@
         return this->update_owners();
     }
     this->commit_after = host::boot_now() + commit_retry_delay;
-    bool any_suspended = std::any_of(this->owners.begin(), this->owners.end(),
-                                     [](const auto& entry)
-                                     { return entry.second->suspended(); });
-    if (result.result == store::outcome::unknown && any_suspended)
-        this->unconfirmed_transfer = next;
+    bool any_waiting = std::any_of(this->owners.begin(), this->owners.end(),
+                                   [](const auto& entry) {
+                                       return entry.second->suspended() ||
+                                              entry.second->learner_required();
+                                   });
+    if (result.result == store::outcome::unknown && any_waiting)
+        this->unconfirmed_change = next;
     else if (result.result == store::outcome::refused &&
-             !this->unconfirmed_transfer)
+             !this->unconfirmed_change)
         this->resume_owners();
 }
 
--- a/source/batches/placement_agent.hpp
+++ b/source/batches/placement_agent.hpp
@@ -130,10 +130,11 @@
     bool committing = false;
     core::instant commit_after{};
     std::optional<active_move> balancing_move;
-    /// A placement that transfers ownership and whose write to the store has an
-    /// unknown outcome. The owners on this host stay suspended until the
-    /// outcome is known, as their successors may already serve requests.
-    std::optional<core::batches::placement> unconfirmed_transfer;
+    /// A placement that transfers ownership or moves copies and whose write to
+    /// the store has an unknown outcome. Until it is known, the owners on this
+    /// host stay suspended, as their successors may already serve requests, and
+    /// records are committed only on the disks of both placements.
+    std::optional<core::batches::placement> unconfirmed_change;
 };
 
 } // namespace amaranthhatch::batches
--- a/tests/core/placement_agent_test.cpp
+++ b/tests/core/placement_agent_test.cpp
@@ -84,3 +84,48 @@
         step_limit));
     CHECK(this->jobs.find(job) == nullptr);
 }
+
+TEST_CASE_METHOD(disk_fleet,
+                 "copy's move, its write ends unknown and the old copy is "
+                 "back, commits nothing without the new copy")
+{
+    for (auto* host : {&this->first, &this->second, &this->spare})
+    {
+        host->jobs().set_partitions(1);
+        host->heard = true;
+    }
+    // The store takes the write, but its answer is lost and this host's mirror
+    // doesn't receive the change.
+    this->store.write_outcome = store::outcome::unknown;
+    this->start({this->owned_place({this->first.disk(), this->second.disk()})});
+    REQUIRE(this->run_until(
+        [&]
+        {
+            auto owner = this->agent.owner_of("job");
+            return owner && owner->recovered();
+        },
+        step_limit));
+    this->first.heard = false;
+    REQUIRE(this->run_until([&] { return !this->store.written.empty(); },
+                            step_limit));
+    const auto proposed = this->store.written.front().partitions.front();
+    REQUIRE(proposed.holds_copy(this->spare.disk()));
+    REQUIRE_FALSE(proposed.holds_copy(this->first.disk()));
+
+    this->first.heard = true;
+    this->run_until([] { return false; }, 600ms);
+    auto owner = this->agent.owner_of("job");
+    owner->add("job", {accepted_record("job", 1)});
+    REQUIRE(this->run_until([&] { return owner->committed("job") == 1; },
+                            step_limit));
+    CHECK(this->spare.jobs().synced("job") == 1);
+
+    this->store.write_outcome = store::outcome::done;
+    CHECK(this->run_until(
+        [&]
+        {
+            return owner->learner().empty() &&
+                   owner->placement().copies == proposed.copies;
+        },
+        step_limit));
+}
