batches: Name the last mark of a job that copies are to forget

What callers could see: an accepted job that lies on one disk fewer than it was acknowledged for, and is lost with the others.

Cause: an owner that lacks a job tells the copy that still has it to forget it; such a job was begun by an earlier owner and never committed. Its caller sends it again under the same id. The request to forget named the id alone. If the owner gave it up after 2 s and the copy read it only after the next one, which brought the job anew, the copy forgot a job that it had just reported as synced, and the owner went on to count it.

That appends arrive out of order on a disturbed link was not shown: by reading, the closed connection's bytes may still be delivered behind the next connection's.

Ruled out: late appends of records (they are merged by position and epoch, and remove records of earlier epochs only).

Why it works: the request names the mark up to which the job is to go: the start of the owner's epoch for a job that it lacks, and the log's end for a job past its retention. A log beyond that mark stays. The marks are a new last field: copies of an earlier release don't read it, and owners of one name no marks, so that a job that they lack stays on the copy until a later owner's request.

--- a/source/batches/job_store.cpp
+++ b/source/batches/job_store.cpp
@@ -244,8 +244,12 @@
                       initial))
         return on_synced(initial);
     this->raise_epoch(request.partition, request.epoch);
-    for (const auto& id : request.expired)
-        this->forget(id);
+    for (const auto& [id, up_to] : request.expired)
+    {
+        const auto* log = this->find(id);
+        if (log != nullptr && !(log->mark() > up_to))
+            this->forget(id);
+    }
     // The response is sent when the last of these records is synced.
     auto pending = std::make_shared<std::size_t>(1);
     auto response = std::make_shared<append_response>(std::move(initial));
--- a/source/batches/partition_owner.cpp
+++ b/source/batches/partition_owner.cpp
@@ -108,12 +108,14 @@
 
 void partition_owner::expire(const std::string& job)
 {
+    const auto* log = this->jobs.find(job);
+    auto last_mark = log == nullptr ? model::log_mark{} : log->mark();
     this->jobs.forget(job);
     this->replication.forget_job(job);
     for (auto& [disk, copy] : this->copies)
     {
         copy.lagging_jobs.erase(job);
-        copy.expired_jobs.insert(job);
+        copy.expired_jobs[job] = last_mark;
     }
 }
 
@@ -284,7 +286,11 @@
         const auto* log = this->jobs.find(mark.job);
         if (log == nullptr)
         {
-            copy.expired_jobs.insert(mark.job);
+            // The copy's records are of earlier epochs, or of a job that has
+            // expired in this one. A job that is accepted anew has later ones.
+            model::log_mark before_epoch{this->epoch(), 0};
+            copy.expired_jobs[mark.job] =
+                mark.mark > before_epoch ? mark.mark : before_epoch;
             continue;
         }
         this->replication.note_stored(disk, mark.job,
@@ -378,7 +384,8 @@
     request.epoch = this->current_placement.epoch;
     request.owner_disk = this->jobs.disk_identity();
     request.copy_disk = disk;
-    request.expired.assign(copy.expired_jobs.begin(), copy.expired_jobs.end());
+    for (const auto& [id, up_to] : copy.expired_jobs)
+        request.expired.push_back({id, up_to});
     std::size_t bytes = 0;
     for (const auto& id : copy.lagging_jobs)
     {
@@ -408,7 +415,7 @@
                 copy_entry->second.retry_at = host::boot_now() + retry_delay;
                 return;
             }
-            for (const auto& id : expired)
+            for (const auto& [id, up_to] : expired)
                 copy_entry->second.expired_jobs.erase(id);
             self->on_stored(disk, *response);
         });
--- a/source/batches/partition_owner.hpp
+++ b/source/batches/partition_owner.hpp
@@ -134,7 +134,8 @@
         bool sending = false;
         core::instant retry_at{};
         std::set<std::string> lagging_jobs;
-        std::set<std::string> expired_jobs;
+        /// Jobs that the copy removes, with the mark up to which it does.
+        std::map<std::string, core::batches::log_mark> expired_jobs;
     };
 
     void request_marks(const std::string& disk);
--- a/source/batches/records.cpp
+++ b/source/batches/records.cpp
@@ -1,5 +1,7 @@
 #include "batches/records.hpp"
 
+#include <algorithm>
+
 #include <nlohmann/json.hpp>
 
 #include "batches/progress_messages.hpp"
@@ -66,7 +68,10 @@
     std::string copy_disk;
     std::vector<packed_append> jobs;
     std::vector<std::string> expired;
-    MSGPACK_DEFINE(partition, epoch, owner_disk, copy_disk, jobs, expired)
+    /// Epoch and count of each expired job's mark.
+    std::vector<std::pair<std::uint64_t, std::uint64_t>> expired_up_to;
+    MSGPACK_DEFINE(partition, epoch, owner_disk, copy_disk, jobs, expired,
+                   expired_up_to)
 };
 
 struct packed_mark
@@ -224,9 +229,15 @@
                                  request.owner_disk,
                                  request.copy_disk,
                                  {},
-                                 request.expired};
+                                 {},
+                                 {}};
     for (const auto& append : request.jobs)
         packed.jobs.push_back(to_packed(append));
+    for (const auto& [job, up_to] : request.expired)
+    {
+        packed.expired.push_back(job);
+        packed.expired_up_to.emplace_back(up_to.epoch, up_to.count);
+    }
     return to_bytes(packed);
 }
 
@@ -272,12 +283,21 @@
     auto packed = from_bytes<packed_append_request>(bytes, "append");
     if (!packed)
         return std::nullopt;
-    return append_request{packed->partition,
-                          packed->epoch,
-                          packed->owner_disk,
-                          packed->copy_disk,
-                          appends_from(std::move(packed->jobs)),
-                          packed->expired};
+    append_request request{packed->partition,
+                           packed->epoch,
+                           packed->owner_disk,
+                           packed->copy_disk,
+                           appends_from(std::move(packed->jobs)),
+                           {}};
+    // Owners of earlier releases send no marks; their jobs stay until a later
+    // owner's request.
+    auto count = std::min(packed->expired.size(), packed->expired_up_to.size());
+    for (std::size_t index = 0; index < count; index++)
+    {
+        const auto& [epoch, records] = packed->expired_up_to[index];
+        request.expired.push_back({packed->expired[index], {epoch, records}});
+    }
+    return request;
 }
 
 std::optional<append_response> unpack_append_response(std::string_view bytes)
--- a/source/batches/records.hpp
+++ b/source/batches/records.hpp
@@ -27,6 +27,15 @@
     std::uint64_t total = 0;
 };
 
+/// @brief A job that a copy removes unless its log goes beyond a mark.
+///
+/// A request that arrives late then removes no job that was accepted anew.
+struct expired_job
+{
+    std::string job;
+    core::batches::log_mark up_to;
+};
+
 /// @brief Records of one partition that its owner sends to a copy.
 struct append_request
 {
@@ -36,8 +45,8 @@
     /// The disk of the copy; a host with another disk responds with wrong_disk.
     std::string copy_disk;
     std::vector<job_append> jobs;
-    /// Jobs whose retention time has passed and that the copy removes.
-    std::vector<std::string> expired;
+    /// Jobs whose retention time has passed, or that the owner lacks.
+    std::vector<expired_job> expired;
 };
 
 /// @brief The end of one host's log of a job.
--- a/tests/core/disk_fleet.cpp
+++ b/tests/core/disk_fleet.cpp
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 
 #include <filesystem>
+#include <utility>
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -91,8 +92,7 @@
         std::make_unique<batches::job_store>(*this->log, partitions);
     this->server = std::make_unique<http::async_server>(
         this->loop, this->address, [] { return http::server_limits(); },
-        [this](const std::shared_ptr<http::server_exchange>& exchange)
-        { this->respond(exchange); });
+        [this](const exchange_ptr& exchange) { this->respond(exchange); });
 }
 
 void copy_host::stop()
@@ -102,7 +102,7 @@
     this->log.reset();
 }
 
-void copy_host::respond(const std::shared_ptr<http::server_exchange>& exchange)
+void copy_host::respond(const exchange_ptr& exchange)
 {
     const auto& request = exchange->received_request();
     if (request.path == "/batches/reconcile")
@@ -110,12 +110,25 @@
             200, {},
             batches::pack(this->held_jobs->handle(
                 *batches::unpack_reconcile(request.body))));
+    if (this->hold_appends)
+        return this->held.push_back(exchange);
+    this->append(exchange);
+}
+
+void copy_host::append(const exchange_ptr& exchange)
+{
     this->held_jobs->handle(
-        *batches::unpack_append(request.body),
+        *batches::unpack_append(exchange->received_request().body),
         [exchange](const batches::append_response& response)
         { exchange->respond(200, {}, batches::pack(response)); });
 }
 
+void copy_host::release_appends()
+{
+    for (const auto& exchange : std::exchange(this->held, {}))
+        this->append(exchange);
+}
+
 core::peers::beacon copy_host::beacon(const host::host_runtime& to) const
 {
     core::peers::beacon beacon;
--- a/tests/core/disk_fleet.hpp
+++ b/tests/core/disk_fleet.hpp
@@ -77,11 +77,20 @@
     batches::job_store& jobs() { return *this->held_jobs; }
     const std::string& disk() const { return this->identity; }
 
+    /// @brief Handles the appends that were held back, in order of arrival.
+    void release_appends();
+    std::size_t held_appends() const { return this->held.size(); }
+
     /// False while its beacons don't arrive.
     bool heard = false;
+    /// True while appends that arrive are held back, as on a slow connection.
+    bool hold_appends = false;
 
 private:
-    void respond(const std::shared_ptr<http::server_exchange>& exchange);
+    using exchange_ptr = std::shared_ptr<http::server_exchange>;
+
+    void respond(const exchange_ptr& exchange);
+    void append(const exchange_ptr& exchange);
 
     boost::asio::io_context& loop;
     std::string host_name;
@@ -92,6 +101,7 @@
     std::unique_ptr<batches::disk_log> log;
     std::unique_ptr<batches::job_store> held_jobs;
     std::unique_ptr<http::async_server> server;
+    std::vector<exchange_ptr> held;
 };
 
 /// @brief A host that owns partitions, and the hosts of the copies, in one
--- a/tests/core/placement_agent_test.cpp
+++ b/tests/core/placement_agent_test.cpp
@@ -129,3 +129,37 @@
         },
         step_limit));
 }
+
+TEST_CASE_METHOD(disk_fleet,
+                 "copy, told late to forget a job that was accepted anew, "
+                 "keeps it")
+{
+    constexpr std::uint64_t earlier_epoch = 1;
+    this->first.jobs().set_partitions(1);
+    bool stored = false;
+    this->first.jobs().add("job", {accepted_record("job", earlier_epoch)},
+                           [&] { stored = true; });
+    REQUIRE(this->run_until([&] { return stored; }, step_limit));
+    auto place = this->owned_place({this->first.disk()});
+    place.epoch = earlier_epoch + 1;
+    this->start({place});
+    REQUIRE(this->run_until(
+        [&]
+        {
+            auto owner = this->agent.owner_of("job");
+            return owner && owner->serving();
+        },
+        step_limit));
+    this->first.hold_appends = true;
+    this->first.heard = true;
+    REQUIRE(this->run_until([&] { return this->first.held_appends() == 1; },
+                            step_limit));
+
+    this->first.hold_appends = false;
+    auto owner = this->agent.owner_of("job");
+    owner->add("job", {accepted_record("job", place.epoch)});
+    REQUIRE(this->run_until([&] { return owner->committed("job") == 1; },
+                            step_limit));
+    this->first.release_appends();
+    CHECK(this->first.jobs().synced("job") == 1);
+}
