batches: Sync what is read back before it counts as stored

Cause: a process that is killed between a write and its sync leaves whole frames in the page cache only. The next process read them back, `job_store` counted them as synced, and an owner counted this copy towards a commit. The same held for the `identity` file, and the truncation of an incomplete frame was never synced.

Change: `disk_log::replay` checks a file's frames, truncates it where one is incomplete, syncs it, and only then reports its frames; the identity is synced before it is used. A failure ends the start with step and path, as for the other files of the log.

Ruled out: syncing only the newest file (older files are read back as well, until a compaction has deleted them); counting what was read back as not synced (an owner would have to write whole logs again).

Why it works: a sync that begins after the bytes were read covers all of them, and nobody else writes to the file until the replay has returned.

--- a/source/batches/disk_log.cpp
+++ b/source/batches/disk_log.cpp
@@ -61,26 +61,51 @@
     return true;
 }
 
-// Calls on_frame for each valid frame, up to the first that is incomplete or
-// corrupt. Returns the number of bytes before that frame.
-std::size_t for_each_frame(std::string_view bytes,
-                           const disk_log::frame_callback& on_frame)
+struct frame_list
 {
-    std::size_t offset = 0;
-    while (offset + sizeof(frame_header) <= bytes.size())
+    std::vector<std::string_view> payloads;
+    /// Number of bytes before the first incomplete or corrupt frame.
+    std::size_t bytes = 0;
+};
+
+frame_list valid_frames(std::string_view bytes)
+{
+    frame_list frames;
+    while (frames.bytes + sizeof(frame_header) <= bytes.size())
     {
         frame_header header;
-        std::memcpy(&header, bytes.data() + offset, sizeof header);
-        auto payload = bytes.substr(offset + sizeof header);
+        std::memcpy(&header, bytes.data() + frames.bytes, sizeof header);
+        auto payload = bytes.substr(frames.bytes + sizeof header);
         if (header.length == 0 || header.length > payload.size())
             break;
         payload = payload.substr(0, header.length);
         if (core::hash(payload, payload.size()) != header.checksum)
             break;
-        on_frame(payload);
-        offset += sizeof header + header.length;
+        frames.payloads.push_back(payload);
+        frames.bytes += sizeof header + header.length;
     }
-    return offset;
+    return frames;
+}
+
+void drop_tail(const std::string& path, std::size_t valid_bytes,
+               std::size_t bytes)
+{
+    logging::event(logging::level::warning, "log_tail_dropped")
+        .with("file", path)
+        .with("bytes", static_cast<std::int64_t>(bytes - valid_bytes));
+    if (::truncate(path.c_str(), static_cast<off_t>(valid_bytes)) != 0)
+        throw errors::failure("truncate log", path, std::strerror(errno));
+}
+
+void sync_file(std::string_view step, const std::string& path)
+{
+    int descriptor = ::open(path.c_str(), O_RDONLY);
+    bool synced = descriptor >= 0 && ::fsync(descriptor) == 0;
+    int cause = errno;
+    if (descriptor >= 0)
+        ::close(descriptor);
+    if (!synced)
+        throw errors::failure(step, path, std::strerror(cause));
 }
 
 } // namespace
@@ -115,7 +140,7 @@
     this->disk_identity = read_file(path);
     constexpr std::size_t length = 16;
     if (this->disk_identity.size() == length)
-        return;
+        return sync_file("sync identity", path);
     std::random_device device;
     char text[length + 1];
     std::snprintf(text, sizeof text, "%08x%08x", device(), device());
@@ -177,23 +202,23 @@
     ::close(descriptor);
 }
 
+// A process that was killed between a write and its sync leaves frames in the
+// page cache only. They are read back like all others, and callers count them
+// as stored, so the file is synced before they are reported.
 void disk_log::replay(const frame_callback& on_frame)
 {
     for (auto number : this->file_numbers())
     {
         auto path = this->file_path(number);
         auto bytes = read_file(path);
-        auto valid_bytes = for_each_frame(bytes, on_frame);
+        auto frames = valid_frames(bytes);
+        if (frames.bytes < bytes.size())
+            drop_tail(path, frames.bytes, bytes.size());
+        sync_file("sync log", path);
         if (number == this->file_number)
-            this->written_bytes = valid_bytes;
-        if (valid_bytes == bytes.size())
-            continue;
-        logging::event(logging::level::warning, "log_tail_dropped")
-            .with("file", path)
-            .with("bytes",
-                  static_cast<std::int64_t>(bytes.size() - valid_bytes));
-        if (::truncate(path.c_str(), static_cast<off_t>(valid_bytes)) != 0)
-            throw errors::failure("truncate log", path, std::strerror(errno));
+            this->written_bytes = frames.bytes;
+        for (auto payload : frames.payloads)
+            on_frame(payload);
     }
 }
 
--- a/source/batches/disk_log.hpp
+++ b/source/batches/disk_log.hpp
@@ -20,6 +20,7 @@
 /// A separate thread writes and syncs, so that the event loop never waits for
 /// the disk. Frames carry a checksum. Reading stops at the first incomplete or
 /// corrupt frame; neither it nor any frame after it was reported as synced.
+/// What is read back, frames and identity, is synced before it is reported.
 class disk_log
 {
 public:
@@ -38,8 +39,10 @@
     /// none.
     const std::string& identity() const { return this->disk_identity; }
 
-    /// @brief Reads all frames and truncates incomplete ones; must be called
-    /// before the first append.
+    /// @brief Reads all frames, truncates incomplete ones and syncs the files
+    /// before it calls on_frame; must be called before the first append.
+    ///
+    /// Throws errors::failure if a file can't be truncated or synced.
     void replay(const frame_callback& on_frame);
 
     /// @brief Appends frames and calls on_synced on the event loop once they
