http: Answer the requests still open when the grace time is used up

What callers saw: a request that takes longer than the grace time of a machine that is told to stop ended with a closed connection and no answer, so that its caller couldn't tell a planned stop from a lost host.

Cause: at nine tenths of the grace time `graceful_stop` stopped the event loop 50 ms later; nothing told the open requests. One whose last byte came within these 50 ms was even handled (by reading; the last core case below).

Change: the stop has one more step, `end_requests`. The server tells each open exchange (`on_stop`); an online request cancels its call and answers as at its deadline, 504 "may have run", or 503 with Retry-After if no endpoint can have run it. An exchange without such a function (calls on batch jobs) gets 504. Requests that become whole later get 503 with Retry-After and aren't handled. A stream that has begun is cut without an end mark as before, since an end mark would say that it is complete.

Of the four new cases in server_stop_test.cpp three fail if the stop leaves the step out (the one on begun responses fails only on its last check, that the connection is closed), and "request whole after the others were ended" fails if the server handles requests that come later. The existing case that builds the steps names one more empty step; what it checks is unchanged.

Ruled out: answering in the server alone (only the request knows whether an endpoint may have run it, and a wrong 503 breaks REFUSED); ending requests sooner (a worker's silence is no reason to).

Why it works: the answers are written before the loop's last 50 ms, and no request is handled after them.

--- a/source/forward/online_request.cpp
+++ b/source/forward/online_request.cpp
@@ -90,6 +90,8 @@
 {
     auto self = this->shared_from_this();
     this->exchange->on_disconnect([self] { self->on_disconnect(); });
+    this->exchange->on_stop(
+        [self] { self->give_up(run_outcome::cancelled, "stopping"); });
     this->schedule_timer();
     this->attempt();
 }
@@ -386,6 +388,18 @@
     this->finish("caller_left", 0, {});
 }
 
+void online_request::give_up(run_outcome result, std::string_view reason)
+{
+    if (this->phase == call_state::ended)
+        return;
+    bool may_have_run =
+        this->phase == call_state::running || this->possible_runs > 0;
+    this->drop_call(result);
+    if (!may_have_run)
+        return this->refuse(reason, this->runtime.settings().retry_after);
+    this->fail(504, reason);
+}
+
 void online_request::schedule_timer()
 {
     auto self = this->shared_from_this();
@@ -405,15 +419,7 @@
 {
     auto now = host::boot_now();
     if (now >= this->deadline)
-    {
-        bool may_have_run =
-            this->phase == call_state::running || this->possible_runs > 0;
-        this->drop_call(run_outcome::broken);
-        if (!may_have_run)
-            return this->refuse("timeout",
-                                this->runtime.settings().retry_after);
-        return this->fail(504, "timeout");
-    }
+        return this->give_up(run_outcome::broken, "timeout");
     auto target = this->response_started ? this->route.target_gap
                                          : this->route.target_latency;
     auto stall_limit =
--- a/source/forward/online_request.hpp
+++ b/source/forward/online_request.hpp
@@ -66,6 +66,7 @@
     void on_timer();
     void schedule_timer();
     void on_disconnect();
+    void give_up(core::endpoints::run_outcome result, std::string_view reason);
     void refuse(std::string_view reason, core::milliseconds retry_after);
     void fail(int status_code, std::string_view reason);
     void finish(std::string_view outcome, int status_code,
--- a/source/host/graceful_stop.cpp
+++ b/source/host/graceful_stop.cpp
@@ -12,8 +12,8 @@
 {
 
 constexpr core::milliseconds idle_check{50};
-// Requests that still run after this share of the grace period are aborted, so
-// that the process exits by itself before it is killed.
+// Requests that still run after this share of the grace period are ended with
+// an answer, so that the process exits by itself before it is killed.
 constexpr double forced_stop_share = 0.9;
 
 } // namespace
@@ -63,6 +63,8 @@
         logging::event(logging::level::info, "stopped")
             .with("idle", idle ? 1 : 0)
             .with("after_ms", elapsed.count());
+        if (!idle && this->actions.end_requests)
+            this->actions.end_requests();
         if (this->actions.finish)
             this->actions.finish();
         // Leaves time for pending writes before the event loop stops.
--- a/source/host/graceful_stop.hpp
+++ b/source/host/graceful_stop.hpp
@@ -12,21 +12,24 @@
 namespace amaranthhatch::host
 {
 
-/// @brief Stops the process without aborting requests.
+/// @brief Stops the process without leaving requests unanswered.
 ///
 /// On SIGTERM or SIGINT the host reports that it isn't ready and continues to
 /// serve for the notice time, in which the load balancer stops sending to it.
-/// Then it closes its port and waits for running requests to end.
+/// Then it closes its port and waits for running requests to end. Requests that
+/// take longer than the grace period are ended before it is over.
 class graceful_stop
 {
 public:
     /// @brief The actions of each step of the stop; any may be empty.
-    /// idle returns whether no request is running.
+    /// idle returns whether no request is running. end_requests answers those
+    /// that still run when the grace period is nearly over.
     struct steps
     {
         std::function<void()> announce;
         std::function<void()> stop_accepting;
         std::function<bool()> idle;
+        std::function<void()> end_requests;
         std::function<void()> finish;
     };
 
--- a/source/http/async_server.cpp
+++ b/source/http/async_server.cpp
@@ -41,6 +41,8 @@
 constexpr int listen_backlog = 1024;
 // A caller that has connected sends its request within this time.
 constexpr std::chrono::milliseconds first_request_wait{300};
+// Another host can take the request at once.
+constexpr std::string_view retry_after_stop = "0.1";
 
 } // namespace
 
@@ -66,6 +68,8 @@
     std::size_t in_flight = 0;
     bool closing = false;
     bool stopped = false;
+    /// True once open requests were ended; no other is handled.
+    bool ending = false;
 };
 
 class async_server::session : public server_exchange,
@@ -87,6 +91,7 @@
     void read_next();
     void close();
     void close_if_idle();
+    void end_request();
     bool busy() const;
     bool is_closed() const { return this->closed; }
     void check_time(steady::time_point now);
@@ -103,12 +108,14 @@
     }
     void abort() override;
     void on_disconnect(std::function<void()> callback) override;
+    void on_stop(std::function<void()> callback) override;
 
 private:
     void on_head(error_code error);
     void on_request(error_code error);
-    void refuse(int status, std::string_view reason);
-    void fail();
+    void refuse(int status, std::string_view reason, header_list headers = {});
+    void fail(int status, std::string_view reason);
+    void clear_callbacks();
     void watch_peer();
     void on_readable(error_code error);
     void on_written(error_code error);
@@ -126,6 +133,7 @@
     std::unique_ptr<parser> reading;
     request current;
     std::function<void()> disconnect_handler;
+    std::function<void()> stop_handler;
     std::string unsent;
     std::string sending;
     steady::time_point deadline = steady::time_point::max();
@@ -205,6 +213,12 @@
         return this->refuse(413, "body over the limit");
     if (error || this->closed)
         return this->close();
+    if (this->owner->ending)
+    {
+        header_list headers;
+        headers.add("Retry-After", retry_after_stop);
+        return this->refuse(503, "not run: stopping\n", std::move(headers));
+    }
     this->deadline = steady::time_point::max();
     auto& message = this->reading->get();
     this->current = {};
@@ -227,24 +241,36 @@
         errors::contain("handle a request", [this]
                         { this->owner->handle(this->shared_from_this()); });
     if (!handled)
-        this->fail();
+        this->fail(500, "unexpected error; may have run\n");
 }
 
 // The handler may have begun a response, and may have passed the request on.
-void async_server::session::fail()
+void async_server::session::fail(int status, std::string_view reason)
 {
     if (this->response_begun)
         return this->abort();
     header_list headers;
     headers.add("Content-Type", "text/plain");
-    this->respond(500, headers, "unexpected error; may have run\n");
+    this->respond(status, headers, reason);
+}
+
+void async_server::session::end_request()
+{
+    if (this->closed || !this->counted || this->response_ended)
+        return;
+    auto stop_handler = std::move(this->stop_handler);
+    this->stop_handler = nullptr;
+    if (stop_handler)
+        errors::contain("end a request", stop_handler);
+    if (!this->response_ended)
+        this->fail(504, "may have run: stopping\n");
 }
 
-void async_server::session::refuse(int status, std::string_view reason)
+void async_server::session::refuse(int status, std::string_view reason,
+                                   header_list headers)
 {
     this->response_ended = false;
     this->caller_closes = true;
-    header_list headers;
     headers.add("Content-Type", "text/plain");
     this->respond(status, headers, reason);
 }
@@ -295,7 +321,7 @@
 void async_server::session::end_response()
 {
     this->response_ended = true;
-    this->disconnect_handler = nullptr;
+    this->clear_callbacks();
     this->close_after_write = !this->keep_alive();
     this->flush();
 }
@@ -305,7 +331,7 @@
     if (this->response_ended)
         return;
     this->response_ended = true;
-    this->disconnect_handler = nullptr;
+    this->clear_callbacks();
     // Bytes that were written before are sent first; the missing end mark shows
     // the caller that the response is incomplete.
     this->close_after_write = true;
@@ -319,6 +345,17 @@
     this->disconnect_handler = std::move(callback);
 }
 
+void async_server::session::on_stop(std::function<void()> callback)
+{
+    this->stop_handler = std::move(callback);
+}
+
+void async_server::session::clear_callbacks()
+{
+    this->disconnect_handler = nullptr;
+    this->stop_handler = nullptr;
+}
+
 void async_server::session::flush()
 {
     if (!this->sending.empty() || this->unsent.empty() || this->closed)
@@ -381,7 +418,7 @@
 void async_server::session::handle_disconnect()
 {
     auto disconnect_handler = std::move(this->disconnect_handler);
-    this->disconnect_handler = nullptr;
+    this->clear_callbacks();
     this->response_ended = true;
     this->close();
     if (disconnect_handler)
@@ -535,6 +572,17 @@
     this->held->sweep(this->held);
 }
 
+void async_server::end_requests()
+{
+    this->held->closing = true;
+    this->held->ending = true;
+    std::vector<std::shared_ptr<session>> open;
+    for (session* open_session : this->held->sessions)
+        open.push_back(open_session->shared_from_this());
+    for (const auto& open_session : open)
+        open_session->end_request();
+}
+
 bool async_server::busy() const
 {
     // Once stopped, a connection that is open could still bring a request that
--- a/source/http/async_server.hpp
+++ b/source/http/async_server.hpp
@@ -57,6 +57,10 @@
     /// @brief Sets a function that is called once if the caller disconnects
     /// before the end of the response.
     virtual void on_disconnect(std::function<void()> callback) = 0;
+
+    /// @brief Sets a function that is called once if the server ends its open
+    /// requests; it ends the exchange.
+    virtual void on_stop(std::function<void()> callback) = 0;
 };
 
 /// @brief An HTTP/1.1 server on one event loop.
@@ -83,6 +87,13 @@
     /// @brief Closes the listening socket and all idle connections.
     void stop_listening();
 
+    /// @brief Ends all open requests, as the process is about to exit.
+    ///
+    /// A request whose exchange has no on_stop function, or whose function
+    /// doesn't end it, gets 504, or is cut if its response has begun. Requests
+    /// that are read later get 503 and don't reach the handler.
+    void end_requests();
+
     /// @brief True while a request is being read, handled or responded to.
     bool busy() const;
 
--- a/tests/core/server_stop_test.cpp
+++ b/tests/core/server_stop_test.cpp
@@ -1,7 +1,10 @@
 #include <catch2/catch.hpp>
 
 #include <csignal>
+#include <functional>
+#include <memory>
 #include <string>
+#include <vector>
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
@@ -183,6 +186,7 @@
                                   { this->server->close_after_responses(); },
                                   [this] { this->server->stop_listening(); },
                                   [this] { return !this->server->busy(); },
+                                  {},
                                   {}});
         this->arrives.expires_after(after);
         this->arrives.async_wait(
@@ -233,3 +237,127 @@
     auto answer = this->stop_while(silent, whole_request, 225ms);
     CHECK((this->handled == 0 || answered(answer)));
 }
+
+namespace
+{
+
+/// @brief A host that is told to stop while its endpoint takes longer than the
+/// grace period.
+struct overdue_host : stopping_server
+{
+    overdue_host()
+    {
+        this->server.reset();
+        this->server = std::make_unique<http::async_server>(
+            this->loop, "127.0.0.1:" + std::to_string(this->endpoint.port()),
+            [] { return http::server_limits(); },
+            [this](const std::shared_ptr<http::server_exchange>& exchange)
+            {
+                this->handled++;
+                this->open.push_back(exchange);
+                if (this->on_request)
+                    this->on_request(exchange);
+            });
+        this->settings.grace = 500ms;
+    }
+
+    /// @brief Stops the host and returns what the caller got until its process
+    /// ended.
+    std::string stop_and_read(tcp::socket& socket)
+    {
+        host::graceful_stop stop(this->loop, this->settings, 0ms,
+                                 {[this]
+                                  { this->server->close_after_responses(); },
+                                  [this] { this->server->stop_listening(); },
+                                  [this] { return !this->server->busy(); },
+                                  [this] { this->server->end_requests(); },
+                                  {}});
+        std::raise(SIGTERM);
+        this->run(3000ms);
+        return this->received(socket);
+    }
+
+    static std::string received(tcp::socket& socket)
+    {
+        std::string text(4096, '\0');
+        boost::system::error_code error;
+        socket.non_blocking(true);
+        auto count = socket.read_some(boost::asio::buffer(text), error);
+        return text.substr(0, error ? 0 : count);
+    }
+
+    host::host_settings settings;
+    std::function<void(const std::shared_ptr<http::server_exchange>&)>
+        on_request;
+    std::vector<std::shared_ptr<http::server_exchange>> open;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(overdue_host,
+                 "host, request open when the grace time is used up, answers "
+                 "that it may have run")
+{
+    auto caller = this->connect();
+    this->write(caller, whole_request);
+    this->run(50ms);
+    REQUIRE(this->handled == 1);
+    auto answer = this->stop_and_read(caller);
+    CHECK(answer.starts_with("HTTP/1.1 504"));
+    CHECK(answer.find("Connection: close") != answer.npos);
+    CHECK(answer.ends_with("may have run: stopping\n"));
+    // The endpoint's answer comes too late and is dropped.
+    this->open.front()->respond(200, {}, "late");
+    this->run(20ms);
+    CHECK(this->received(caller).empty());
+}
+
+TEST_CASE_METHOD(overdue_host,
+                 "host, request that wasn't run when the grace time is used "
+                 "up, is ended by its handler")
+{
+    this->on_request = [](const std::shared_ptr<http::server_exchange>& each)
+    { each->on_stop([each] { each->respond(503, {}, "not run"); }); };
+    auto caller = this->connect();
+    this->write(caller, whole_request);
+    this->run(50ms);
+    auto answer = this->stop_and_read(caller);
+    CHECK(answer.starts_with("HTTP/1.1 503"));
+    CHECK(answer.ends_with("not run"));
+}
+
+TEST_CASE_METHOD(overdue_host,
+                 "host, response begun when the grace time is used up, isn't "
+                 "ended as complete")
+{
+    this->on_request = [](const std::shared_ptr<http::server_exchange>& each)
+    {
+        each->begin(200, {});
+        each->write("piece");
+    };
+    auto caller = this->connect();
+    this->write(caller, whole_request);
+    this->run(50ms);
+    auto answer = this->stop_and_read(caller);
+    CHECK(answer.starts_with("HTTP/1.1 200"));
+    CHECK(answer.ends_with("piece\r\n"));
+    char byte = 0;
+    boost::system::error_code error;
+    caller.read_some(boost::asio::buffer(&byte, 1), error);
+    CHECK(error == boost::asio::error::eof);
+}
+
+TEST_CASE_METHOD(overdue_host,
+                 "host, request whole after the others were ended, is refused "
+                 "and not handled")
+{
+    auto caller = this->connect();
+    this->write(caller, whole_request.substr(0, 20));
+    this->run(50ms);
+    this->server->end_requests();
+    this->write(caller, whole_request.substr(20));
+    auto answer = this->answer(caller);
+    CHECK(answer.starts_with("HTTP/1.1 503"));
+    CHECK(answer.find("Retry-After: ") != answer.npos);
+    CHECK(this->handled == 0);
+}
--- a/tests/platform/online_path_test.cpp
+++ b/tests/platform/online_path_test.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <thread>
 
@@ -291,6 +292,41 @@
     CHECK(this->fleet.entries[0].process->stop(8s) == 0);
 }
 
+TEST_CASE_METHOD(online_path,
+                 "SIGTERM, request still open when the grace time is used up, "
+                 "gets an answer")
+{
+    const auto& entry = this->fleet.entries[0];
+    // The grace time ends before the route's timeout of 4 s.
+    auto settings = this->fleet.folder + "/" + entry.name + ".toml";
+    std::ifstream in(settings);
+    std::string text{std::istreambuf_iterator<char>(in), {}};
+    const std::string grace = "grace_s = 8";
+    text.replace(text.find(grace), grace.size(), "grace_s = 2");
+    std::ofstream(settings + ".new") << text;
+    std::filesystem::rename(settings + ".new", settings);
+    entry.process->signal(SIGHUP);
+    REQUIRE(fleet::eventually(
+        [&]
+        {
+            return this->fleet.log_of(entry).find("applied=grace") !=
+                   std::string::npos;
+        },
+        3s));
+    this->switch_workers({{"events", 10}, {"event_ms", 5000}});
+    http::reply reply;
+    std::thread caller(
+        [&] { reply = this->fleet.call(0, "POST", "/once/x", "r1", "b"); });
+    CHECK(fleet::eventually([&] { return this->runs("r1") == 1; }, 1s));
+    entry.process->signal(SIGTERM);
+    caller.join();
+    CHECK(reply.reached == http::progress::answered);
+    CHECK(reply.status == 504);
+    CHECK(reply.body.find("may have run") != std::string::npos);
+    CHECK(entry.process->stop(8s) == 0);
+    CHECK(this->runs("r1") == 1);
+}
+
 TEST_CASE_METHOD(online_path, "a request's log line, tells what became of it")
 {
     this->switch_workers({{"cut", 1}});
