tests: Stop a batch host that holds a read or an uncommitted job

Why: whether a batch host that is told to stop leaves its callers without an answer was open, as it doesn't wait for the calls it holds. It does not: the entry that took the request from the caller sees the internal call end and answers, 503 with Retry-After for a read, 504 for a job whose commit isn't known (`batches/batch_client`, any end but a complete one is `unknown`; `platform/batch_ingress`).

The second freezes the other hosts, so that the commit can't complete, and checks that the answer comes as the host ends.

--- a/tests/platform/batch_path_test.cpp
+++ b/tests/platform/batch_path_test.cpp
@@ -412,3 +412,67 @@
     this->check_whole("job1");
     CHECK(this->resumed_items() == 2);
 }
+
+TEST_CASE_METHOD(batch_path,
+                 "batch host, told to stop while it holds a read, the reader "
+                 "gets an answer")
+{
+    for (const auto& worker : this->fleet.workers)
+        fleet::admin(worker, {{"event_ms", 1000}});
+    REQUIRE(this->submit_eventually("job1", {"a"}));
+    auto owner =
+        this->host_of_disk(this->place("job1").at("owner").get<std::string>());
+    http::reply reply;
+    std::thread reader(
+        [&]
+        {
+            reply = this->fleet.call(0, "GET", "/lots/job1?after=0", "", "",
+                                     {{"Wait-Ms", "1000"}});
+        });
+    std::this_thread::sleep_for(200ms);
+    this->fleet.batch_hosts[owner].process->signal(SIGTERM);
+    reader.join();
+    CHECK(reply.reached == http::progress::answered);
+    CHECK((reply.status == 200 || reply.status == 503));
+    CHECK(this->fleet.batch_hosts[owner].process->stop(8s) == 0);
+}
+
+TEST_CASE_METHOD(batch_path,
+                 "batch host, told to stop while a job waits for the copies, "
+                 "the sender is told that the outcome is unknown")
+{
+    REQUIRE(this->submit_eventually("job1", {"a"}));
+    auto owner_disk = this->place("job1").at("owner").get<std::string>();
+    auto owner = this->host_of_disk(owner_disk);
+    // Another job of the same owner.
+    std::string job;
+    for (int number = 2; job.empty(); number++)
+    {
+        auto id = "job" + std::to_string(number);
+        if (this->place(id).at("owner") == owner_disk)
+            job = id;
+    }
+    for (std::size_t at = 0; at < this->fleet.batch_hosts.size(); at++)
+        if (at != owner)
+            this->fleet.batch_hosts[at].process->signal(SIGSTOP);
+    http::reply reply;
+    std::thread sender(
+        [&]
+        {
+            reply =
+                this->fleet.call(0, "POST", "/jobs/x", job,
+                                 tests::platform_fleet::job_body(job, {"a"}));
+        });
+    std::this_thread::sleep_for(200ms);
+    auto told_to_stop = std::chrono::steady_clock::now();
+    this->fleet.batch_hosts[owner].process->signal(SIGTERM);
+    sender.join();
+    // Answered as the host ends, not at the limit for a commit of 2.5 s.
+    CHECK(std::chrono::steady_clock::now() - told_to_stop < 2s);
+    CHECK(reply.reached == http::progress::answered);
+    CHECK(reply.status == 504);
+    CHECK(this->fleet.batch_hosts[owner].process->stop(8s) == 0);
+    for (std::size_t at = 0; at < this->fleet.batch_hosts.size(); at++)
+        if (at != owner)
+            this->fleet.batch_hosts[at].process->signal(SIGCONT);
+}
