tests: Replay writes of a copy's move whose outcome is unknown

Change: a quarter of the writes that move a copy take effect and lose their answer, a quarter take effect up to 15 steps later unless another write came first, and the owner reads the store's placement about every 20 steps. A new fault, forget_unknown_write, goes on with the copies that the owner knows.

The schedules model the owner; the product's own code is tested by "copy's move, its write ends unknown and the old copy is back, commits nothing without the new copy".

--- a/tests/core/ownership_schedule.cpp
+++ b/tests/core/ownership_schedule.cpp
@@ -56,18 +56,77 @@
     return nullptr;
 }
 
-bool ownership_schedule::swap(const partition_place& next)
+bool ownership_schedule::swap(std::uint64_t revision,
+                              const partition_place& next)
 {
+    if (revision != this->stored_revision)
+        return false;
     this->stored = next;
+    this->stored_revision++;
     return true;
 }
 
+void ownership_schedule::take_late_writes()
+{
+    std::erase_if(this->late_writes,
+                  [this](const auto& write)
+                  {
+                      if (write.due > this->now)
+                          return false;
+                      this->swap(write.revision, write.place);
+                      return true;
+                  });
+}
+
+void ownership_schedule::write_copies(host& by, const partition_place& next)
+{
+    auto& owned = *by.owner;
+    auto required = owned.place.copies;
+    required.push_back(owned.learner);
+    owned.replication.set_copies(required);
+    owned.unconfirmed = next;
+    enum : std::uint64_t
+    {
+        answer_lost,
+        taken_late,
+        outcomes = 4
+    };
+    auto outcome = this->now > step_count ? outcomes : this->pick(outcomes);
+    if (outcome == taken_late)
+        this->late_writes.push_back(
+            {this->now + 1 + this->pick(max_delay), owned.revision, next});
+    else
+        this->swap(owned.revision, next);
+    if (outcome > taken_late)
+        return this->read_placement(by);
+    if (this->fault != ownership_fault::forget_unknown_write)
+        return;
+    owned.unconfirmed.reset();
+    owned.replication.set_copies(owned.place.copies);
+    owned.learner.clear();
+}
+
+void ownership_schedule::read_placement(host& by)
+{
+    auto& owned = *by.owner;
+    if (owned.revision == this->stored_revision)
+        return;
+    owned.place = this->stored;
+    owned.revision = this->stored_revision;
+    owned.replication.set_copies(owned.place.copies);
+    owned.unconfirmed.reset();
+    owned.learner.clear();
+    this->note_commits(by);
+}
+
 void ownership_schedule::become_owner(host& by)
 {
     by.owner = owner_state{this->stored,
                            replication_state(by.disk, this->stored.copies),
                            false,
                            {},
+                           {},
+                           this->stored_revision,
                            {}};
     by.epoch = std::max(by.epoch, this->stored.epoch);
     this->reconcile(by);
@@ -249,7 +308,7 @@
         next.epoch++;
         next.owner_disk = current.disk;
         next.owner_incarnation = current.incarnation;
-        this->swap(next);
+        this->swap(this->stored_revision, next);
         this->become_owner(current);
         return;
     }
@@ -279,6 +338,11 @@
     auto& owned = *by.owner;
     if (owned.place.epoch != this->stored.epoch)
         return;
+    constexpr std::uint64_t read_one_in = 20;
+    if (this->now > step_count || this->pick(read_one_in) == 0)
+        this->read_placement(by);
+    if (owned.unconfirmed)
+        return this->write_copies(by, partition_place(*owned.unconfirmed));
     auto replaced = this->choose_replaced(by);
     if (replaced.empty())
     {
@@ -287,12 +351,10 @@
     }
     if (this->fault == ownership_fault::drop_copy_early)
     {
-        auto next = this->stored;
+        auto next = owned.place;
         std::erase(next.copies, replaced);
-        this->swap(next);
-        owned.place = next;
-        owned.replication.set_copies(next.copies);
-        return;
+        this->swap(owned.revision, next);
+        return this->read_placement(by);
     }
     auto* learner = this->by_disk(owned.learner);
     if (learner == nullptr || !learner->alive)
@@ -307,14 +369,10 @@
                  by.log.records().size();
     if (!ready)
         return;
-    auto next = this->stored;
+    auto next = owned.place;
     std::replace(next.copies.begin(), next.copies.end(), replaced,
                  owned.learner);
-    this->swap(next);
-    owned.place = next;
-    owned.replication.set_copies(next.copies);
-    owned.learner.clear();
-    this->note_commits(by);
+    this->write_copies(by, next);
 }
 
 std::string ownership_schedule::pick_host()
@@ -368,6 +426,7 @@
             this->restart(any, roll % 2 == 0, false);
         else if (roll < 60)
             this->sync_disk(any);
+        this->take_late_writes();
         this->consider_takeover();
         for (auto& [other, current] : this->hosts)
         {
--- a/tests/core/ownership_schedule.hpp
+++ b/tests/core/ownership_schedule.hpp
@@ -27,11 +27,15 @@
     serve_after_later_epoch,
     /// A lost copy is removed from the placement before its replacement has
     /// all records.
-    drop_copy_early
+    drop_copy_early,
+    /// An owner goes on with the copies that it knows after a write of other
+    /// copies whose outcome it doesn't know.
+    forget_unknown_write
 };
 
 /// @brief Replays one partition's owners, copies, crashes, power losses,
-/// wiped disks, pauses and takeovers with delayed and lost calls, from a seed.
+/// wiped disks, pauses and takeovers with delayed and lost calls and with
+/// writes to the store whose outcome is unknown, from a seed.
 ///
 /// lost_disks disks are wiped at once: as many as the deployment promises to
 /// tolerate.
@@ -56,6 +60,18 @@
         /// Disk of a live copy that is being moved to balance the disks, or
         /// empty.
         std::string moving;
+        /// The store's revision that the owner has read.
+        std::uint64_t revision = 0;
+        /// Written copies whose write's outcome the owner doesn't know.
+        std::optional<core::batches::partition_place> unconfirmed;
+    };
+
+    /// @brief A write that takes effect after its caller has given it up.
+    struct late_write
+    {
+        std::uint64_t due = 0;
+        std::uint64_t revision = 0;
+        core::batches::partition_place place;
     };
 
     struct host
@@ -84,7 +100,11 @@
 
     std::uint64_t pick(std::uint64_t below);
     host* by_disk(const std::string& disk);
-    bool swap(const core::batches::partition_place& next);
+    bool swap(std::uint64_t revision,
+              const core::batches::partition_place& next);
+    void take_late_writes();
+    void write_copies(host& by, const core::batches::partition_place& next);
+    void read_placement(host& by);
     void become_owner(host& by);
     void reconcile(host& by);
     void produce(host& by);
@@ -106,6 +126,8 @@
     std::uint64_t now = 0;
     std::map<std::string, host> hosts;
     core::batches::partition_place stored;
+    std::uint64_t stored_revision = 1;
+    std::vector<late_write> late_writes;
     std::vector<append_message> in_flight;
     /// Every record that any owner has shown as committed, by its index in the
     /// log.
--- a/tests/core/ownership_test.cpp
+++ b/tests/core/ownership_test.cpp
@@ -29,7 +29,8 @@
     auto fault = GENERATE(ownership_fault::accept_stale_epoch,
                           ownership_fault::commit_alone,
                           ownership_fault::serve_after_later_epoch,
-                          ownership_fault::drop_copy_early);
+                          ownership_fault::drop_copy_early,
+                          ownership_fault::forget_unknown_write);
     bool found = false;
     for (std::uint64_t seed = 1; seed <= 400 && !found; seed++)
         found = !ownership_schedule(seed, fault, 1 + seed % 2).run().empty();
