host: Date the time of registration by when it was asked for

What callers would have seen: a part that crashes endpoints was released and crashed more of them; or a sound part stayed refused for five minutes if the store had been away meanwhile.

Cause: the host dated a list of endpoints by the moment at which it handled the answer, which a paused process reaches seconds late. After any failure the time began anew and crashes from before it were never looked at again. The stand-in fleet hid and caused more: entries of crashed workers stayed for ever under the same incarnation, which the platform's never do.

Change: the time runs between the beginnings of answered list calls. After a failure it must last as long again, and then counts for earlier crashes, too.

Ruled out: renewals of the entry as evidence, as the platform's entries don't change with each heartbeat.

What remains: a heartbeat that the store executes seconds late can keep a crashed endpoint's entry for longer than five heartbeats; its crash then doesn't count.

--- a/source/core/quarantine/part_quarantine.cpp
+++ b/source/core/quarantine/part_quarantine.cpp
@@ -153,14 +153,14 @@
         this->unfounded_at[endpoint] = now;
 }
 
-void part_quarantine::record_registered(std::uint64_t endpoint, instant from,
-                                        instant to, instant now)
+void part_quarantine::record_registered(std::uint64_t endpoint,
+                                        instant crashed_before, instant now)
 {
     this->clear_crashes(
         [&](const record& stored)
         {
             return stored.report.endpoint == endpoint &&
-                   stored.crashed_at >= from && stored.crashed_at <= to;
+                   stored.crashed_at <= crashed_before;
         },
         now);
 }
--- a/source/core/quarantine/part_quarantine.hpp
+++ b/source/core/quarantine/part_quarantine.hpp
@@ -70,9 +70,9 @@
     /// request was sent to it which it then took: it hasn't crashed.
     void record_alive(std::uint64_t endpoint, instant sent_at, instant now);
 
-    /// @brief Clears the crashes of a time span for an endpoint whose
+    /// @brief Clears the crashes before a time of an endpoint whose
     /// registration has outlasted them: it hasn't crashed.
-    void record_registered(std::uint64_t endpoint, instant from, instant to,
+    void record_registered(std::uint64_t endpoint, instant crashed_before,
                            instant now);
 
     /// @brief The endpoints that have uncleared reports.
--- a/source/host/host_runtime.cpp
+++ b/source/host/host_runtime.cpp
@@ -369,16 +369,23 @@
         this->mirrors[part]->set_active(reads_store || always_reads || behind);
         this->follow_peers(part, now);
     }
-    if (const auto& reads = this->mirror_of(mirrored_part::endpoints).reads())
-        this->prompt_quarantine.clear_registered(
-            reads->first,
-            reads->last - this->current_settings.heartbeat * crash_heartbeats);
+    this->clear_unfounded_crashes();
     bool has_no_configuration =
         this->mirror_of(mirrored_part::configuration).as_of() == 0;
     if (has_no_configuration && this->mirrors[0]->failing())
         this->pull_from_seeds();
 }
 
+// While the store is away, registrations of crashed endpoints may stay, so the
+// time for which they outlast a crash begins anew after it.
+void host_runtime::clear_unfounded_crashes()
+{
+    const auto& reads = this->mirror_of(mirrored_part::endpoints).reads();
+    auto expiry = this->current_settings.heartbeat * crash_heartbeats;
+    if (reads && reads->last - expiry >= reads->first)
+        this->prompt_quarantine.clear_registered(reads->last - expiry);
+}
+
 const core::peers::peer* host_runtime::newest_copy(std::size_t part,
                                                    core::instant now) const
 {
--- a/source/host/host_runtime.hpp
+++ b/source/host/host_runtime.hpp
@@ -109,6 +109,7 @@
     std::uint32_t capacity() const;
     core::milliseconds pull_interval(core::instant now) const;
     void check_mirrors();
+    void clear_unfounded_crashes();
     const core::peers::peer* newest_copy(std::size_t part,
                                          core::instant now) const;
     void follow_peers(std::size_t part, core::instant now);
--- a/source/host/shared_quarantine.cpp
+++ b/source/host/shared_quarantine.cpp
@@ -99,11 +99,11 @@
         this->registered.insert(endpoint_key(each.id, each.started_ms));
 }
 
-void shared_quarantine::clear_registered(core::instant from, core::instant to)
+void shared_quarantine::clear_registered(core::instant crashed_before)
 {
     for (auto endpoint : this->table.reported_endpoints())
         if (this->registered.contains(endpoint))
-            this->table.record_registered(endpoint, from, to, boot_now());
+            this->table.record_registered(endpoint, crashed_before, boot_now());
 }
 
 bool shared_quarantine::record_close(const prompt_run& run, int status)
--- a/source/host/shared_quarantine.hpp
+++ b/source/host/shared_quarantine.hpp
@@ -56,10 +56,10 @@
     /// @brief Sets which endpoints are registered at present.
     void set_registered(std::span<const core::endpoints::endpoint> listed);
 
-    /// @brief Clears the crashes of a time span for the endpoints that are
-    /// still registered; the span ends before the time in which the
-    /// registration of an endpoint that crashed would have expired.
-    void clear_registered(core::instant from, core::instant to);
+    /// @brief Clears the crashes before a time of all endpoints that are still
+    /// registered, in which the registration of one that crashed would have
+    /// expired.
+    void clear_registered(core::instant crashed_before);
 
     /// @brief Returns for how long requests with these parts are refused;
     /// nothing if they aren't.
--- a/source/store/mirror.cpp
+++ b/source/store/mirror.cpp
@@ -49,6 +49,7 @@
 void mirror::list()
 {
     this->call_pending = true;
+    this->list_began = host::boot_now();
     this->source.list(this->options.prefix, [this](const listing& listed)
                       { this->on_listing(listed); });
 }
@@ -75,9 +76,9 @@
         return this->retry();
     this->record_success();
     this->complete = true;
-    auto now = host::boot_now();
     this->read_times =
-        read_span{this->read_times ? this->read_times->first : now, now};
+        read_span{this->read_times ? this->read_times->first : this->list_began,
+                  this->list_began};
     if (listed.revision >= this->as_of_revision)
         this->replace(listed);
     if (this->options.mode == mirror_mode::watch)
--- a/source/store/mirror.hpp
+++ b/source/store/mirror.hpp
@@ -49,6 +49,7 @@
 public:
     using change_callback = std::function<void()>;
 
+    /// @brief When list calls began that were all answered.
     struct read_span
     {
         core::instant first;
@@ -101,8 +102,8 @@
     /// @brief True while this host's calls to the store fail.
     bool failing() const { return this->failures > 0; }
 
-    /// @brief The first and the last of this host's successful list calls that
-    /// no failure or pause separates; nothing if it doesn't read the store.
+    /// @brief The time for which this host has read the store without a
+    /// failure; nothing if it doesn't read it.
     const std::optional<read_span>& reads() const { return this->read_times; }
 
 private:
@@ -133,6 +134,7 @@
     bool call_pending = false;
     bool reads_store = true;
     core::instant replaced_at{};
+    core::instant list_began{};
     std::optional<read_span> read_times;
     int failures = 0;
     core::instant failing_since{};
--- a/tests/platform/platform_fleet.hpp
+++ b/tests/platform/platform_fleet.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,8 @@
 
     /// @brief Writes or renews a worker's entry.
     void register_worker(std::size_t worker, const std::string& state);
+    /// @brief Writes the entry of a worker that has started again.
+    void register_restarted_worker(std::size_t worker);
     void drop_worker(std::size_t worker);
 
     /// @brief Deletes a batch host's data folder.
@@ -64,6 +67,9 @@
     void write_settings(const fleet::node& node, const std::string& front,
                         const std::string& ready_address,
                         const std::string& data) const;
+
+    /// How often each worker has started, as its incarnation.
+    std::map<std::size_t, int> starts;
 };
 
 } // namespace amaranthhatch::tests
