core: Count marks of a quarantined part for the crashes they stand for

What callers would have seen: requests with a sound part refused at once after a single reset.

Cause: one confirmed report was enough for a part to count as confirmed. When some of the reports that it was confirmed for are cleared, the mark stays on the others, and the next report makes the number complete, with no time in which an answer could clear the part.

Change: a part is confirmed while confirmed reports of enough endpoints are uncleared. Test: "sound part, one crash after an unfounded quarantine, isn't blocked at once" fails before and passes after.

--- a/source/core/quarantine/part_quarantine.cpp
+++ b/source/core/quarantine/part_quarantine.cpp
@@ -267,15 +267,17 @@
     return endpoints.size();
 }
 
+// A mark may have outlived the crashes that it was given for.
 bool part_quarantine::confirmed(part_id part) const
 {
-    auto same = this->uncleared_records(part);
-    return std::any_of(same.begin(), same.end(),
-                       [part](const record* each)
-                       {
-                           auto index = uncleared_index(each->report, part);
-                           return (each->report.confirmed & bit(*index)) != 0;
-                       });
+    std::set<std::uint64_t> endpoints;
+    for (const auto* stored : this->uncleared_records(part))
+    {
+        auto index = uncleared_index(stored->report, part);
+        if ((stored->report.confirmed & bit(*index)) != 0)
+            endpoints.insert(stored->report.endpoint);
+    }
+    return endpoints.size() >= this->bounds.crashes;
 }
 
 void part_quarantine::confirm(part_id part, instant now)
--- a/tests/core/quarantine_test.cpp
+++ b/tests/core/quarantine_test.cpp
@@ -332,6 +332,19 @@
     CHECK(this->blocked({first_part, subject, deadly}));
 }
 
+TEST_CASE_METHOD(quarantine_table,
+                 "sound part, one crash after an unfounded quarantine, isn't "
+                 "blocked at once")
+{
+    this->deadly_crashes(3);
+    this->answer_others();
+    REQUIRE(this->blocked({first_part, subject, deadly}));
+    this->table.record_registered(1, this->now, this->now);
+    REQUIRE_FALSE(this->blocked({first_part, subject, deadly}));
+    this->crash(9, {first_part, subject, deadly});
+    CHECK_FALSE(this->blocked({first_part, subject, deadly}));
+}
+
 TEST_CASE_METHOD(quarantine_table,
                  "endpoint that resets all requests, doesn't fill the table")
 {
