core: Refuse cleared reports that come back after their removal

What callers would have seen: a sound part quarantined again by hosts that had cleared it.

Cause: cleared reports are removed after 15 s, or earlier in a full table. A host that was cut off meanwhile, or the entry in the store, which is read at each change of the registrations, brings them back uncleared.

Change: the runs of removed reports are remembered for as long as a report counts, 2048 at most, and refused. Test: "cleared report, removed here, another host still has it, doesn't come back" fails before, passes after.

--- a/source/core/quarantine/part_quarantine.cpp
+++ b/source/core/quarantine/part_quarantine.cpp
@@ -81,7 +81,8 @@
 {
     if (report.parts.empty() || report.parts.size() > max_tracked_parts ||
         report.age < milliseconds(0) || report.age >= this->bounds.duration ||
-        this->unfounded_at.contains(report.endpoint))
+        this->unfounded_at.contains(report.endpoint) ||
+        this->removed_runs.contains(report.run))
         return false;
     return std::any_of(
         report.parts.begin(), report.parts.end(),
@@ -229,6 +230,15 @@
     this->rebuild();
 }
 
+void part_quarantine::remember_cleared(const record& removed)
+{
+    constexpr std::size_t most_remembered = 2048;
+    if (entirely_cleared(removed.report) &&
+        this->removed_runs.size() < most_remembered)
+        this->removed_runs[removed.report.run] =
+            removed.crashed_at + this->bounds.duration;
+}
+
 // Removes the report that is least needed: one that is cleared before one of a
 // part that isn't quarantined, the oldest first.
 void part_quarantine::make_room()
@@ -246,6 +256,7 @@
         std::min_element(this->records.begin(), this->records.end(),
                          [&](const auto& left, const auto& right)
                          { return rank(left.second) < rank(right.second); });
+    this->remember_cleared(least->second);
     this->records.erase(least);
 }
 
@@ -390,6 +401,8 @@
 {
     std::erase_if(this->unfounded_at, [now](const auto& each)
                   { return now - each.second >= unfounded_time; });
+    std::erase_if(this->removed_runs,
+                  [now](const auto& each) { return now >= each.second; });
     auto removed =
         std::erase_if(this->records,
                       [&](const auto& each)
@@ -399,7 +412,10 @@
                                         stored.report.confirmed != 0;
                           auto kept =
                               needed ? this->bounds.duration : cleared_time;
-                          return now - stored.crashed_at >= kept;
+                          bool due = now - stored.crashed_at >= kept;
+                          if (due)
+                              this->remember_cleared(stored);
+                          return due;
                       });
     if (removed > 0)
         this->rebuild();
--- a/source/core/quarantine/part_quarantine.hpp
+++ b/source/core/quarantine/part_quarantine.hpp
@@ -144,6 +144,7 @@
     bool clear_crashes(Predicate unfounded, instant now);
     void add(crash_report report, instant now);
     void make_room();
+    void remember_cleared(const record& removed);
     void rebuild();
     std::vector<const record*> uncleared_records(part_id part) const;
     std::size_t crashed_endpoints(part_id part) const;
@@ -163,6 +164,9 @@
     std::map<part_id, bool> suspected;
     /// The common parts of requests that may have caused several crashes.
     std::vector<part_set> repeated_causes;
+    /// Runs whose cleared reports were removed, and until when they are
+    /// refused: another host, or the store, may still have them uncleared.
+    std::map<std::uint64_t, instant> removed_runs;
     /// When an endpoint's reports were last found unfounded.
     std::map<std::uint64_t, instant> unfounded_at;
     /// Answers by service.
--- a/tests/core/quarantine_test.cpp
+++ b/tests/core/quarantine_test.cpp
@@ -345,6 +345,29 @@
     CHECK_FALSE(this->blocked({first_part, subject, deadly}));
 }
 
+TEST_CASE_METHOD(quarantine_table,
+                 "cleared report, removed here, another host still has it, "
+                 "doesn't come back")
+{
+    this->deadly_crashes(3);
+    this->answer_others();
+    auto uncleared = this->table.reports_of(deadly, this->now);
+    REQUIRE(uncleared.size() == 3);
+    for (auto& report : uncleared)
+        report.confirmed = 0;
+    part_quarantine fresh({});
+    for (const auto& report : uncleared)
+        fresh.merge(report, this->now);
+    for (std::uint64_t endpoint = 1; endpoint <= 3; endpoint++)
+        fresh.record_registered(endpoint, this->now, this->now);
+    this->now += 20s;
+    fresh.update(this->now);
+    REQUIRE(fresh.size() == 0);
+    for (const auto& report : uncleared)
+        fresh.merge(report, this->now);
+    CHECK(fresh.size() == 0);
+}
+
 TEST_CASE_METHOD(quarantine_table,
                  "endpoint that resets all requests, doesn't fill the table")
 {
