tests: Share the folders of disk logs between three test files

Cause: today's tests of synced logs and of placements each brought the folder and the loop that shell_io_test.cpp had already. Change: tests/core/data_folder and log_folder hold them once; no check is touched.

--- a/tests/core/disk_fleet.cpp
+++ b/tests/core/disk_fleet.cpp
@@ -47,18 +47,6 @@
 
 } // namespace
 
-data_folder::data_folder()
-{
-    this->folder =
-        (std::filesystem::temp_directory_path() / "hatch-disk-XXXXXX").string();
-    mkdtemp(this->folder.data());
-}
-
-data_folder::~data_folder()
-{
-    std::filesystem::remove_all(this->folder);
-}
-
 void placement_store::list(std::string_view prefix, listing_callback done)
 {
     store::listing listed{store::outcome::done, 1, {}};
--- a/tests/core/disk_fleet.hpp
+++ b/tests/core/disk_fleet.hpp
@@ -17,23 +17,10 @@
 #include "http/async_server.hpp"
 #include "metrics/recorder.hpp"
 
-namespace amaranthhatch::tests
-{
+#include "data_folder.hpp"
 
-/// @brief A folder for job data that is removed with this object.
-class data_folder
+namespace amaranthhatch::tests
 {
-public:
-    data_folder();
-    ~data_folder();
-    data_folder(const data_folder&) = delete;
-    data_folder& operator=(const data_folder&) = delete;
-
-    const std::string& path() const { return this->folder; }
-
-private:
-    std::string folder;
-};
 
 /// @brief A store that holds one placement and answers writes as the test says.
 class placement_store : public store::async_store
--- a/tests/core/disk_sync_test.cpp
+++ b/tests/core/disk_sync_test.cpp
@@ -22,7 +22,10 @@
 #include "batches/records.hpp"
 #include "errors/failure.hpp"
 
+#include "log_folder.hpp"
+
 using namespace amaranthhatch;
+using tests::log_folder;
 
 namespace
 {
@@ -121,53 +124,10 @@
 namespace
 {
 
-struct data_folder
-{
-    data_folder()
-    {
-        std::string pattern =
-            (std::filesystem::temp_directory_path() / "hatch-sync-XXXXXX")
-                .string();
-        this->path = mkdtemp(pattern.data());
-    }
-    ~data_folder() { std::filesystem::remove_all(this->path); }
-
-    std::string file(int number = 1) const
-    {
-        return this->path + "/log-0000000" + std::to_string(number);
-    }
-
-    std::string identity_file() const { return this->path + "/identity"; }
-
-    void store(const std::vector<std::string>& frames)
-    {
-        batches::disk_log log(this->loop, this->path);
-        log.replay([](std::string_view) {});
-        bool stored = false;
-        log.append(frames, [&] { stored = true; });
-        while (!stored)
-        {
-            this->loop.restart();
-            this->loop.poll();
-        }
-    }
-
-    std::vector<std::string> replay()
-    {
-        std::vector<std::string> frames;
-        batches::disk_log log(this->loop, this->path);
-        log.replay([&](std::string_view frame) { frames.emplace_back(frame); });
-        return frames;
-    }
-
-    boost::asio::io_context loop;
-    std::string path;
-};
-
 /// @brief The bytes of a file with these frames, as a log writes them.
 std::string file_with(const std::vector<std::string>& frames)
 {
-    data_folder other;
+    log_folder other;
     other.store(frames);
     auto bytes = synced_files::content_of(other.file());
     REQUIRE_FALSE(bytes.empty());
@@ -176,7 +136,7 @@
 
 /// @brief A host whose process can be killed between a write and its sync, and
 /// which can lose its power.
-struct killed_host : data_folder
+struct killed_host : log_folder
 {
     killed_host() { synced_files::instance().record(true); }
     ~killed_host() { synced_files::instance().record(false); }
--- a/tests/core/shell_io_test.cpp
+++ b/tests/core/shell_io_test.cpp
@@ -13,50 +13,15 @@
 #include "peers/packing.hpp"
 #include "store/mirror.hpp"
 
+#include "log_folder.hpp"
+
 using namespace amaranthhatch;
 using namespace std::chrono_literals;
+using tests::log_folder;
 
 namespace
 {
 
-struct log_folder
-{
-    log_folder()
-    {
-        std::string pattern =
-            (std::filesystem::temp_directory_path() / "hatch-log-XXXXXX")
-                .string();
-        this->path = mkdtemp(pattern.data());
-    }
-    ~log_folder() { std::filesystem::remove_all(this->path); }
-
-    std::vector<std::string> replay()
-    {
-        std::vector<std::string> frames;
-        batches::disk_log log(this->loop, this->path);
-        log.replay([&](std::string_view frame) { frames.emplace_back(frame); });
-        return frames;
-    }
-
-    void store(const std::vector<std::string>& frames)
-    {
-        batches::disk_log log(this->loop, this->path);
-        log.replay([](std::string_view) {});
-        bool stored = false;
-        log.append(frames, [&] { stored = true; });
-        while (!stored)
-        {
-            this->loop.restart();
-            this->loop.poll();
-        }
-    }
-
-    std::string file() const { return this->path + "/log-00000001"; }
-
-    boost::asio::io_context loop;
-    std::string path;
-};
-
 /// @brief A store whose responses the test supplies.
 class scripted_store : public store::async_store
 {
