tests: Wait for a host that was told to stop without a second SIGTERM

The host had logged `stopped` at 44.304 s; the test's second SIGTERM came from 44.366 s on, when the event loop and its signal handling had ended, and killed the process in its last moments. The platform sends SIGTERM once, then SIGKILL.

That a second SIGTERM in those moments ends the process by the signal remains; everything acknowledged is on the disk by then.

--- a/tests/fleet/child_process.hpp
+++ b/tests/fleet/child_process.hpp
@@ -26,12 +26,14 @@
     /// @brief Sends SIGTERM and waits; the exit status, or -1 after the limit.
     int stop(std::chrono::milliseconds limit);
 
+    /// @brief Waits for the end of a process that was told to stop; returns its
+    /// status, or -1 if it didn't exit by itself within the limit.
+    int wait(std::chrono::milliseconds limit);
+
     bool running();
     pid_t id() const { return this->pid; }
 
 private:
-    int wait(std::chrono::milliseconds limit);
-
     pid_t pid = -1;
     int status = 0;
     bool ended = false;
