tests: Let the frozen copies' owner serve the partition before the job comes

Trace of the kept logs: the job lay in another partition of the owner than the first one, which the owner didn't serve yet when its copies were frozen. It refused the job (421, asked again until the limit), so that 503 "not run" was right; the case that the test is about had not come up.

Change: the job falls into the partition that has just accepted one. The checks are as before.

--- a/tests/platform/batch_path_test.cpp
+++ b/tests/platform/batch_path_test.cpp
@@ -87,14 +87,30 @@
                   whole_text(one.at("id").get<std::string>()));
     }
 
-    json place(const std::string& job)
+    json placement()
     {
         auto values = fleet::counters(this->fleet.store).at("values");
-        auto table =
-            json::parse(values.at("hatch/placement").get<std::string>());
+        return json::parse(values.at("hatch/placement").get<std::string>());
+    }
+
+    json place(const std::string& job)
+    {
+        auto table = this->placement();
         return table.at(core::hash(job) % table.size());
     }
 
+    /// @brief The id of another job in the same partition.
+    std::string neighbour_of(const std::string& job)
+    {
+        auto partitions = this->placement().size();
+        for (int number = 0;; number++)
+        {
+            auto id = "neighbour" + std::to_string(number);
+            if (core::hash(id) % partitions == core::hash(job) % partitions)
+                return id;
+        }
+    }
+
     struct disk_load
     {
         int owned = 0;
@@ -104,9 +120,7 @@
     /// @brief What each disk carries, as the store's placement says.
     std::map<std::string, disk_load> carried()
     {
-        auto values = fleet::counters(this->fleet.store).at("values");
-        auto table =
-            json::parse(values.at("hatch/placement").get<std::string>());
+        auto table = this->placement();
         std::map<std::string, disk_load> out;
         for (const auto& place : table)
         {
@@ -442,16 +456,10 @@
                  "the sender is told that the outcome is unknown")
 {
     REQUIRE(this->submit_eventually("job1", {"a"}));
-    auto owner_disk = this->place("job1").at("owner").get<std::string>();
-    auto owner = this->host_of_disk(owner_disk);
-    // Another job of the same owner.
-    std::string job;
-    for (int number = 2; job.empty(); number++)
-    {
-        auto id = "job" + std::to_string(number);
-        if (this->place(id).at("owner") == owner_disk)
-            job = id;
-    }
+    auto owner =
+        this->host_of_disk(this->place("job1").at("owner").get<std::string>());
+    // The owner serves this partition already, and takes the job at once.
+    auto job = this->neighbour_of("job1");
     for (std::size_t at = 0; at < this->fleet.batch_hosts.size(); at++)
         if (at != owner)
             this->fleet.batch_hosts[at].process->signal(SIGSTOP);
