forward: Log how each run of a request ended

Cause: the line of a request names the status of its last run only, so that a log can't tell a run that answered an error from one whose connection closed between two events or one that got an earlier answer. Change: one line `run_ended` for each run but a first one that is answered, with end, status, framing, the event that it resumed after, its last event and whether the caller's response had begun.

--- a/source/forward/online_request.cpp
+++ b/source/forward/online_request.cpp
@@ -193,6 +193,7 @@
     this->unusable_reason.clear();
     this->response_body.clear();
     this->events.drop_incomplete_event();
+    this->resumed_after = this->events.last_id();
     this->sends++;
     this->last_endpoint = chosen.id;
     this->prompt.endpoint = chosen.id;
@@ -303,10 +304,33 @@
             !this->events.incomplete_event().empty());
 }
 
+// A first run that is answered is described by the request's own line.
+void online_request::log_run(http::call_end end, std::string_view detail) const
+{
+    bool success = this->status >= 200 && this->status < 300;
+    if (end == http::call_end::complete && success && this->sends == 1)
+        return;
+    constexpr std::string_view names[] = {"complete", "not_sent", "broken",
+                                          "closed"};
+    logging::event(logging::level::info, "run_ended")
+        .with("id", this->request_id)
+        .with("endpoint", this->last_endpoint)
+        .with("send", this->sends)
+        .with("end", names[static_cast<std::size_t>(end)])
+        .with("status", this->status)
+        .with("not_run", this->not_run ? 1 : 0)
+        .with("framed", this->framed ? 1 : 0)
+        .with("resumed_after", this->resumed_after)
+        .with("last_event", this->events.last_id())
+        .with("response_begun", this->response_started ? 1 : 0)
+        .with("detail", detail);
+}
+
 void online_request::on_end(http::call_end end, std::string_view detail)
 {
     if (this->phase != call_state::running)
         return;
+    this->log_run(end, detail);
     std::string reason(detail);
     if (end == http::call_end::not_sent)
     {
--- a/source/forward/online_request.hpp
+++ b/source/forward/online_request.hpp
@@ -55,6 +55,7 @@
     void record_event(core::instant now);
     void abandon_call(std::string_view reason);
     bool closed_inside_event(http::call_end end) const;
+    void log_run(http::call_end end, std::string_view detail) const;
     void forward_events(std::string_view piece);
     void on_complete();
     void on_not_run();
@@ -102,6 +103,8 @@
     core::instant suspected_until{};
     std::string last_endpoint;
     std::shared_ptr<const std::string> body;
+    /// The id of the event after which the current or last run resumed.
+    std::string resumed_after;
     /// Number of calls in which an endpoint may have run the request.
     std::uint32_t possible_runs = 0;
     /// Number of calls to endpoints, including those that were refused.
