--- a/tests/platform/online_path_test.cpp
+++ b/tests/platform/online_path_test.cpp
@@ -15,17 +15,6 @@
 namespace
 {
 
-std::string whole_stream(const std::string& id, int events = 10)
-{
-    std::string text;
-    for (int at = 1; at <= events; at++)
-    {
-        auto number = std::to_string(at);
-        text += "id: " + number + "\ndata: " + id + "-" + number + "\n\n";
-    }
-    return text;
-}
-
 struct online_path
 {
     online_path() : fleet(2, 0, 2) { this->fleet.start(); }
@@ -80,7 +69,7 @@
         this->fleet.call(0, "POST", "/once/a%20b?q=%41", "r1", "body\r\n",
                          {{"Model", "m"}, {"Deadline-Ms", "3000"}});
     CHECK(reply.status == 200);
-    CHECK(reply.body == whole_stream("r1"));
+    CHECK(reply.body == tests::platform_fleet::stream_text("r1"));
     CHECK(reply.headers.get("Response-Signature") == "signed-r1");
     auto seen = this->asked("r1");
     CHECK(seen.at("target") == "/once/a%20b?q=%41");
@@ -142,7 +131,7 @@
             CHECK(reply.status == std::stoi(row[3]));
         CHECK(this->runs(id) <= std::stoi(row[4]));
         if (row[5] == "whole")
-            CHECK(reply.body == whole_stream(id));
+            CHECK(reply.body == tests::platform_fleet::stream_text(id));
         if (row[3] == "503")
             CHECK_FALSE(reply.headers.get("Retry-After").empty());
         this->switch_workers({{"full", false}, {"cut", 0}, {"unsigned", 0}});
@@ -288,7 +277,7 @@
         { return fleet::get(this->fleet.ready[0], "/readyz").status == 503; },
         1s));
     caller.join();
-    CHECK(reply.body == whole_stream("r1", 60));
+    CHECK(reply.body == tests::platform_fleet::stream_text("r1", 60));
     CHECK(this->fleet.entries[0].process->wait(8s) == 0);
 }
 
--- a/tests/platform/platform_fleet.cpp
+++ b/tests/platform/platform_fleet.cpp
@@ -245,6 +245,17 @@
     return http::perform(asked);
 }
 
+std::string platform_fleet::stream_text(const std::string& id, int events)
+{
+    std::string text;
+    for (int at = 1; at <= events; at++)
+    {
+        auto number = std::to_string(at);
+        text += "id: " + number + "\ndata: " + id + "-" + number + "\n\n";
+    }
+    return text;
+}
+
 std::string platform_fleet::job_body(const std::string& job,
                                      const std::vector<std::string>& bodies,
                                      const std::string& prompt)
--- a/tests/platform/platform_fleet.hpp
+++ b/tests/platform/platform_fleet.hpp
@@ -40,6 +40,9 @@
                      const std::string& body,
                      const std::vector<http::header>& headers = {}) const;
 
+    /// @brief The body of a worker's whole stream.
+    static std::string stream_text(const std::string& id, int events = 10);
+
     /// @brief The body that submits a job of items with these bodies.
     ///
     /// With a prompt, each item's prompt is these parts and one of its own.
--- a/tests/standins/standin_platform_worker.cpp
+++ b/tests/standins/standin_platform_worker.cpp
@@ -26,6 +26,9 @@
     int event_ms = 10;
     /// Streams to break off in the middle of an event.
     int cut = 0;
+    /// Whole answers without events to give to requests that resume a stream.
+    int resume_errors = 0;
+    int resume_status = 500;
     /// Answers to give without a signature.
     int unsigned_answers = 0;
     /// Answers that bear another request's id.
@@ -232,6 +235,12 @@
         }
         int first = 1;
         auto last = asked.headers.get("Last-Event-Id");
+        if (!last.empty() && this->state.resume_errors > 0)
+        {
+            this->state.resume_errors--;
+            answer.status = this->state.resume_status;
+            return answer;
+        }
         std::from_chars(last.data(), last.data() + last.size(), first);
         first += last.empty() ? 0 : 1;
         bool cut = this->state.cut > 0;
@@ -259,6 +268,10 @@
             this->state.event_ms =
                 change.value("event_ms", this->state.event_ms);
             this->state.cut = change.value("cut", this->state.cut);
+            this->state.resume_errors =
+                change.value("resume_errors", this->state.resume_errors);
+            this->state.resume_status =
+                change.value("resume_status", this->state.resume_status);
             this->state.unsigned_answers =
                 change.value("unsigned", this->state.unsigned_answers);
             this->state.crossed = change.value("crossed", this->state.crossed);
