tests: Find a request's line in the log by its event

Cause: the test "a request's log line, tells what became of it" took the first line with the request's id. Change: it looks for the line of the event `request`, which is what its name says, and checks the same fields: as strict as before.

--- a/tests/platform/online_path_test.cpp
+++ b/tests/platform/online_path_test.cpp
@@ -322,7 +322,7 @@
     this->fleet.call(0, "POST", "/once/x", "lost-one", "b");
     this->switch_workers({{"cut", 0}});
     auto text = this->fleet.log_of(this->fleet.entries[0]);
-    auto at = text.find("id=lost-one");
+    auto at = text.find("event=request id=lost-one");
     REQUIRE(at != text.npos);
     auto line = text.substr(at, text.find('\n', at) - at);
     CHECK(line.find("outcome=cut") != line.npos);
