forward: End a resumed stream only by the rest of it

Cause: `on_end` took each whole answer for the end of the request. Where the first run had broken off after some events and the run that resumed it answered 500 whole, the response that had begun with 200 was finished. Class of fault: a call that ended properly is taken for work that succeeded.

Change: a run that answers with another status than the one that the caller has received is a failed run. The stream is resumed elsewhere while attempts are left, else it is cut without an end mark. `hatch_retries_total` counts these repeats.

--- a/source/forward/online_request.cpp
+++ b/source/forward/online_request.cpp
@@ -241,7 +241,7 @@
 {
     this->runtime.endpoints().progress(this->run, host::boot_now());
     bool success = this->status >= 200 && this->status < 300;
-    if (is_stream(this->route) && success)
+    if (is_stream(this->route) && success && this->continues_response())
     {
         this->forward_events(piece);
         if (this->events.over_limit())
@@ -262,6 +262,7 @@
     if (!this->response_started)
     {
         this->response_started = true;
+        this->response_status = this->status;
         this->exchange->begin(this->status, this->headers);
     }
     this->exchange->write(complete_events);
@@ -293,6 +294,13 @@
     this->end_run(result);
 }
 
+// A run that resumes a stream may answer an error, or a success without events.
+// Neither is the rest of a response that the caller has received in part.
+bool online_request::continues_response() const
+{
+    return !this->response_started || this->status == this->response_status;
+}
+
 // An endpoint that crashes during a stream without a length ends the response
 // as one that is complete.
 bool online_request::closed_inside_event(http::call_end end) const
@@ -365,7 +373,9 @@
                          (!is_stream(this->route) || this->prompt.events > 0);
         if (generated)
             this->runtime.quarantine().record_answer(this->prompt);
-        return this->on_complete();
+        if (this->continues_response())
+            return this->on_complete();
+        reason = "resumed with another status";
     }
     this->excluded_endpoints.push_back(this->last_endpoint);
     this->on_failure(this->unusable_reason.empty() ? reason
@@ -399,9 +409,12 @@
 
 void online_request::on_failure(std::string_view detail)
 {
-    if (this->may_retry())
-        return this->attempt();
-    this->fail(502, detail);
+    if (!this->may_retry())
+        return this->fail(502, detail);
+    this->runtime.metrics_recorder().count("hatch_retries_total", "reason",
+                                           this->response_started ? "resume"
+                                                                  : "broken");
+    this->attempt();
 }
 
 void online_request::on_disconnect()
--- a/source/forward/online_request.hpp
+++ b/source/forward/online_request.hpp
@@ -54,6 +54,7 @@
     compose_request(const core::endpoints::endpoint& chosen) const;
     void record_event(core::instant now);
     void abandon_call(std::string_view reason);
+    bool continues_response() const;
     bool closed_inside_event(http::call_end end) const;
     void log_run(http::call_end end, std::string_view detail) const;
     void forward_events(std::string_view piece);
@@ -112,6 +113,8 @@
     bool response_started = false;
     bool preempts_batch = false;
     int status = 0;
+    /// The status that the caller has received; 0 before the response begins.
+    int response_status = 0;
     http::header_list headers;
     /// True if the response shows its end by a length or chunks; without them
     /// the end of the connection ends it.
