endpoints: Stop choosing an endpoint that says in its answers that it leaves

A worker that leaves says so in all its answers, and after drain_ms no request may reach it from a host that passed such an answer on, whether the store can be reached or not.

Cause: no file read that header. Only the store's entries (`draining`, or gone) told, so that a host without the store, or with an old copy, went on sending until its copy changed.

Change: each head that is read on a run's connection is looked at by forward/leaving_answer, before it is decided whether the answer is of use. endpoint_table::record_leaving marks the incarnation that got the request (core/endpoints/leaving_marks, 4,096 at most), apart from the list of endpoints, so that neither an entry that vanishes and comes back nor an older copy ends it; a later start under the id does. is_available() asks for the mark, so that choices, usable() and free_for_batch() all follow; runs there go on.

Ruled out: sharing marks in beacons (DESIGN.md), a time limit of the mark (a worker may go on serving for many seconds, and a stale copy may list it for longer), `Connection: close` as a sign (sound workers send it too).

The fixture of the platform tests gives its workers a real start time; it was 0 for the first start, which now means "not known".

--- a/source/batches/item_run.cpp
+++ b/source/batches/item_run.cpp
@@ -1,5 +1,6 @@
 #include "batches/item_run.hpp"
 
+#include "forward/leaving_answer.hpp"
 #include "host/boot_clock.hpp"
 #include "logging/event.hpp"
 
@@ -67,6 +68,8 @@
 bool item_run::on_head(int status_code, const http::header_list& headers)
 {
     const auto& names = this->scheduler.names;
+    forward::record_leaving_answer(this->scheduler.runtime, names, headers,
+                                   this->content.id, this->run);
     auto echoed = headers.get(names.request_id);
     if (!echoed.empty() && echoed != this->content.id)
         return false;
--- a/source/core/endpoints/endpoint_table.cpp
+++ b/source/core/endpoints/endpoint_table.cpp
@@ -40,6 +40,10 @@
 // their slots is free. In the age of a view, some 150 ms, a crest of requests
 // uses about that many.
 constexpr double least_free_share = 0.1;
+// Endpoints that have said that they leave and are remembered: four times those
+// of the largest fleet, as each may be replaced a few times before the store
+// names the new ones. A mark takes some 150 bytes.
+constexpr std::size_t leaving_limit = 4096;
 
 } // namespace
 
@@ -53,7 +57,7 @@
     std::string own_zone, std::map<std::string, std::string> region_of_zone,
     const peers::peer_table& peer_hosts)
     : own_zone(std::move(own_zone)), region_of_zone(std::move(region_of_zone)),
-      peer_hosts(peer_hosts)
+      peer_hosts(peer_hosts), leaving(leaving_limit)
 {
 }
 
@@ -67,12 +71,19 @@
         record.id_hash = load_key(info.id);
         record.listed = true;
         record.info = std::move(info);
+        this->update_leaving(record);
     }
     std::erase_if(
         this->records, [](const auto& record)
         { return !record.second.listed && record.second.runs.empty(); });
 }
 
+void endpoint_table::update_leaving(endpoint_record& record) const
+{
+    record.leaving = this->leaving.covers(
+        record.info.id, {record.info.started_ms, record.info.address});
+}
+
 const endpoint* endpoint_table::find(std::string_view id) const
 {
     auto found = this->records.find(id);
@@ -107,7 +118,7 @@
 bool endpoint_table::is_available(const endpoint_record& record,
                                   std::string_view service, instant now) const
 {
-    return record.listed && !record.info.draining &&
+    return record.listed && !record.info.draining && !record.leaving &&
            record.info.service == service && now >= record.excluded_until &&
            !this->is_unresponsive(record, now);
 }
@@ -283,7 +294,10 @@
     if (found == this->records.end())
         return key;
     auto& record = found->second;
-    record.runs.emplace(key.number, running_request{kind, now});
+    record.runs.emplace(
+        key.number,
+        running_request{
+            kind, now, {record.info.started_ms, record.info.address}});
     (kind == load_kind::online ? record.online : record.batch)++;
     this->version++;
     return key;
@@ -296,6 +310,20 @@
         found->second.last_progress = now;
 }
 
+bool endpoint_table::record_leaving(const run_key& run)
+{
+    auto found = this->records.find(run.endpoint);
+    if (found == this->records.end())
+        return false;
+    auto& record = found->second;
+    auto open_run = record.runs.find(run.number);
+    if (open_run == record.runs.end() ||
+        !this->leaving.add(run.endpoint, open_run->second.sent_to))
+        return false;
+    this->update_leaving(record);
+    return true;
+}
+
 void endpoint_table::end(const run_key& run, run_outcome result, instant now)
 {
     auto found = this->records.find(run.endpoint);
--- a/source/core/endpoints/endpoint_table.hpp
+++ b/source/core/endpoints/endpoint_table.hpp
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "core/endpoints/leaving_marks.hpp"
 #include "core/instant.hpp"
 #include "core/peers/peer_table.hpp"
 
@@ -129,6 +130,13 @@
     /// @brief Records that a running request received response data.
     void progress(const run_key& run, instant now);
 
+    /// @brief Records that an answer to a running request says that its
+    /// endpoint leaves. Returns true if this wasn't known before.
+    ///
+    /// From then on the incarnation that got the request isn't chosen any more,
+    /// even if its entry vanishes and comes back. Running requests continue.
+    bool record_leaving(const run_key& run);
+
     /// @brief Records the end and result of a request.
     void end(const run_key& run, run_outcome result, instant now);
 
@@ -154,12 +162,17 @@
     {
         load_kind kind = load_kind::online;
         instant started{};
+        /// The endpoint's incarnation that got the request; its entry may name
+        /// another one by now.
+        incarnation sent_to;
     };
 
     struct endpoint_record
     {
         endpoint info;
         bool listed = true;
+        /// True if this incarnation has said in an answer that it leaves.
+        bool leaving = false;
         std::uint64_t id_hash = 0;
         std::map<std::uint64_t, running_request> runs;
         std::uint32_t online = 0;
@@ -178,6 +191,7 @@
         int distance = 0;
     };
 
+    void update_leaving(endpoint_record& record) const;
     static double usable_for_batch(const candidate& each,
                                    batch_allowance allowance);
     std::vector<candidate> candidates(std::string_view service,
@@ -200,6 +214,7 @@
     std::map<std::string, std::string> region_of_zone;
     const peers::peer_table& peer_hosts;
     std::map<std::string, endpoint_record, std::less<>> records;
+    leaving_marks leaving;
     std::map<std::string, double, std::less<>> mean_slot_time_ms;
     std::uint64_t next_run = 1;
     std::uint64_t version = 0;
--- a/source/forward/header_names.hpp
+++ b/source/forward/header_names.hpp
@@ -23,6 +23,10 @@
     std::string target_instance;
     /// Set on a response where the endpoint did not run the request.
     std::string not_run;
+    /// Set on all responses of an endpoint that leaves, and the value that says
+    /// so.
+    std::string leaving;
+    std::string leaving_value;
     /// Names the parts of the request's prompt.
     std::string prompt;
     /// Parses the value of that header: the ids of the parts that requests can
--- a/source/forward/online_request.cpp
+++ b/source/forward/online_request.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <cstdio>
 
+#include "forward/leaving_answer.hpp"
 #include "host/boot_clock.hpp"
 #include "logging/event.hpp"
 
@@ -211,6 +212,8 @@
 bool online_request::on_head(int status_code,
                              const http::header_list& response_headers)
 {
+    record_leaving_answer(this->runtime, this->names, response_headers,
+                          this->request_id, this->run);
     auto echoed_id = response_headers.get(this->names.request_id);
     if (!echoed_id.empty() && echoed_id != this->request_id)
         return false;
--- a/tests/platform/platform_fleet.cpp
+++ b/tests/platform/platform_fleet.cpp
@@ -17,6 +17,9 @@
 namespace
 {
 
+// When the workers first start, in Unix milliseconds.
+constexpr std::int64_t first_start_ms = 1'700'000'000'000;
+
 const std::string zones[] = {"zone-a", "zone-b", "zone-c"};
 
 std::string region_of(const std::string& zone)
@@ -164,10 +167,14 @@
                                      const std::string& state)
 {
     const auto& one = this->workers[worker];
-    json entry = {{"service", "pool"},      {"address", one.address},
-                  {"zone", one.place.zone}, {"slots", 4},
-                  {"state", state},         {"sequence", 1},
-                  {"cold_remaining_ms", 0}, {"born", this->starts[worker]}};
+    json entry = {{"service", "pool"},
+                  {"address", one.address},
+                  {"zone", one.place.zone},
+                  {"slots", 4},
+                  {"state", state},
+                  {"sequence", 1},
+                  {"cold_remaining_ms", 0},
+                  {"born", first_start_ms + this->starts[worker]}};
     auto id = "i-" + std::to_string(worker + 1);
     fleet::admin(one, {{"id", id}});
     fleet::admin(this->store, {{"set", {{"servers/" + id, entry.dump()}}}});
--- a/tests/standins/standin_platform_worker.cpp
+++ b/tests/standins/standin_platform_worker.cpp
@@ -38,6 +38,11 @@
     /// Answers without a signature whose body never ends.
     int endless_unsigned = 0;
     bool full = false;
+    /// Lines of the header in which a worker says with all its answers that it
+    /// leaves; none: it says nothing.
+    std::vector<std::string> leaving;
+    /// Requests that reached the worker, also those that it refused.
+    int received = 0;
     /// The part of a prompt that crashes the worker; empty: none.
     std::string deadly;
     /// Whether the crash comes behind the head of the answer.
@@ -166,7 +171,28 @@
     {
         if (asked.path == "/admin")
             return this->administer(asked);
+        auto answer =
+            asked.path == "/healthz" ? this->health() : this->answer_to(asked);
+        std::lock_guard lock(this->state.guard);
+        for (const auto& line : this->state.leaving)
+            answer.headers.add("Server-Leaving", line);
+        return answer;
+    }
+
+private:
+    http::response health()
+    {
+        std::lock_guard lock(this->state.guard);
+        auto answer = standins::json_response(
+            this->state.leaving.empty() ? 200 : 503, json::object());
+        answer.headers.add("Instance-Id", this->state.id);
+        return answer;
+    }
+
+    http::response answer_to(const http::request& asked)
+    {
         std::unique_lock lock(this->state.guard);
+        this->state.received++;
         std::string id(asked.headers.get("Request-Id"));
         auto target = asked.headers.get("Target-Instance");
         if (!target.empty() && target != this->state.id)
@@ -193,7 +219,6 @@
         return answer;
     }
 
-private:
     bool contains_deadly(std::string_view prompt) const
     {
         auto comma = prompt.rfind(',');
@@ -280,6 +305,7 @@
             this->state.endless_unsigned =
                 change.value("endless_unsigned", this->state.endless_unsigned);
             this->state.full = change.value("full", this->state.full);
+            this->state.leaving = change.value("leaving", this->state.leaving);
             this->state.deadly = change.value("deadly", this->state.deadly);
             this->state.deadly_after_head = change.value(
                 "deadly_after_head", this->state.deadly_after_head);
@@ -290,6 +316,7 @@
             200, {{"runs", this->state.runs},
                   {"asked", this->state.asked},
                   {"running", this->state.running},
+                  {"received", this->state.received},
                   {"deadly_runs", this->state.deadly_runs},
                   {"crashes", this->state.crashes},
                   {"starting", std::chrono::steady_clock::now() <
