batches: Count only a 500 as a failed attempt of an item

Cause: item_run took every whole answer that isn't a success, 422 or a refusal for a failed attempt.

Change: any status but 500 ends the run as one that is repeated, which keeps the item's events and counts no attempt. It must not spin: the endpoint has failed (a broken answer in the table, so that a second one within four seconds excludes it), and the item waits 0.3 s, doubled up to 2.4 s, as an endpoint that answers other items well is never excluded. An item that gets such answers for ever stays open until its retention time.

Ruled out: a bound of such runs (the protocol knows none), and treating them as refusals (they don't say that the item didn't run).

--- a/source/batches/item_run.cpp
+++ b/source/batches/item_run.cpp
@@ -176,8 +176,11 @@
                         : this->finish(run_state::retry, run_outcome::broken,
                                        "answer not whole");
     }
-    this->finish(run_state::failed, run_outcome::answered,
-                 std::to_string(this->status));
+    auto reason = std::to_string(this->status);
+    if (this->status == 500)
+        return this->finish(run_state::failed, run_outcome::answered, reason);
+    this->endpoint_error = true;
+    this->finish(run_state::retry, run_outcome::broken, reason);
 }
 
 void item_run::finish(run_state final_state, run_outcome endpoint_outcome,
--- a/source/batches/item_run.hpp
+++ b/source/batches/item_run.hpp
@@ -20,7 +20,7 @@
     {
         running,
         complete,
-        /// The endpoint responded with an error; counted as an attempt.
+        /// The endpoint responded that the item failed; counted as an attempt.
         failed,
         /// The endpoint responded that it can never run this item.
         impossible,
@@ -64,6 +64,9 @@
     /// @brief True if the endpoint closed the connection before it had
     /// generated anything, as when it crashes.
     bool closed_at_start() const { return this->ended_at_start; }
+    /// @brief True if the endpoint responded with an error that says nothing
+    /// of the item.
+    bool endpoint_failed() const { return this->endpoint_error; }
     /// @brief True if the run was interrupted as it had stalled.
     bool ended_stalled() const { return this->has_stalled; }
 
@@ -94,6 +97,7 @@
     /// True if the response shows its end by a length or chunks.
     bool framed = false;
     bool not_run = false;
+    bool endpoint_error = false;
     bool has_stalled = false;
     bool ended_at_start = false;
     run_state state = run_state::running;
--- a/source/batches/item_scheduler.cpp
+++ b/source/batches/item_scheduler.cpp
@@ -17,7 +17,8 @@
 {
 
 // Delay before a failed item is run again: about the time in which an endpoint
-// recovers from a short disturbance.
+// recovers from a short disturbance. Doubled for each further run that ends
+// with another error, as some errors would come at once and each time.
 constexpr core::milliseconds retry_delay{300};
 // Mean delay before an item is run again that an endpoint has refused.
 constexpr core::milliseconds refused_delay{200};
@@ -404,6 +405,11 @@
                 host::boot_now() +
                 closed_delay *
                     (1 << std::min(state.closes++, most_delay_doublings));
+        if (run->endpoint_failed())
+            state.retry_at =
+                host::boot_now() +
+                retry_delay * (1 << std::min(state.endpoint_errors++,
+                                             most_delay_doublings));
         // The loads don't show yet that the endpoint is full.
         if (run->refused())
             state.retry_at = host::boot_now() +
--- a/source/batches/item_scheduler.hpp
+++ b/source/batches/item_scheduler.hpp
@@ -31,6 +31,9 @@
     int stalls = 0;
     /// Runs whose endpoint closed the connection at their start.
     int closes = 0;
+    /// Runs whose endpoint responded with an error that says nothing of the
+    /// item.
+    int endpoint_errors = 0;
 };
 
 /// @brief The open items of the jobs that this host owns, by job id and item
--- a/tests/platform/batch_path_test.cpp
+++ b/tests/platform/batch_path_test.cpp
@@ -254,6 +254,66 @@
               .status == 400);
 }
 
+// Only a 500 counts as a failed attempt. Two of these are allowed.
+TEST_CASE_METHOD(batch_path,
+                 "batch job, workers answer with other failures, its items "
+                 "aren't given up")
+{
+    for (int status : {504, 502, 404, 429, 503})
+    {
+        INFO(status);
+        for (const auto& worker : this->fleet.workers)
+            fleet::admin(worker, {{"errors", 2}, {"error_status", status}});
+        auto job = "job" + std::to_string(status);
+        REQUIRE(this->submit_eventually(job, {"a"}));
+        REQUIRE(this->finished(job, 1));
+        auto one = this->fleet.results(0, job).at("results")[0];
+        CHECK(one.at("state") == "done");
+        CHECK(one.at("text") == whole_text(job + "-0"));
+    }
+}
+
+TEST_CASE_METHOD(batch_path,
+                 "batch job, workers answer with other failures before a 500, "
+                 "is given up after its attempts")
+{
+    for (const auto& worker : this->fleet.workers)
+        fleet::admin(worker, {{"errors", 1}, {"error_status", 504}});
+    REQUIRE(this->submit_eventually("job1", {"failing"}));
+    REQUIRE(this->finished("job1", 1));
+    auto one = this->fleet.results(0, "job1").at("results")[0];
+    CHECK(one.at("state") == "dead_lettered");
+    int failed = 0;
+    int runs = 0;
+    for (const auto& worker : this->fleet.workers)
+    {
+        auto counts = fleet::counters(worker);
+        runs += counts.at("runs").value("job1-0", 0);
+        failed += 1 - counts.at("errors").get<int>();
+    }
+    CHECK(runs - failed == 2);
+}
+
+TEST_CASE_METHOD(batch_path,
+                 "batch job, workers answer with other failures for long, "
+                 "isn't sent again and again")
+{
+    for (const auto& worker : this->fleet.workers)
+        fleet::admin(worker, {{"errors", 10000}, {"error_status", 504}});
+    REQUIRE(this->submit_eventually("job1", {"a"}));
+    std::this_thread::sleep_for(3000ms);
+    int runs = 0;
+    for (const auto& worker : this->fleet.workers)
+        runs += fleet::counters(worker).at("runs").value("job1-0", 0);
+    CHECK(runs > 2);
+    CHECK(runs < 10);
+    for (const auto& worker : this->fleet.workers)
+        fleet::admin(worker, {{"errors", 0}});
+    REQUIRE(this->finished("job1", 1));
+    CHECK(this->fleet.results(0, "job1").at("results")[0].at("state") ==
+          "done");
+}
+
 TEST_CASE_METHOD(batch_path, "batch job, stream cut, goes on behind what came")
 {
     for (const auto& worker : this->fleet.workers)
--- a/tests/standins/standin_platform_worker.cpp
+++ b/tests/standins/standin_platform_worker.cpp
@@ -38,6 +38,9 @@
     /// Answers without a signature whose body never ends.
     int endless_unsigned = 0;
     bool full = false;
+    /// Answers to give with this status, without running the request.
+    int errors = 0;
+    int error_status = 0;
     /// Lines of the header in which a worker says with all its answers that it
     /// leaves; none: it says nothing.
     std::vector<std::string> leaving;
@@ -252,6 +255,13 @@
             this->state.unsigned_answers > 0 ? 1 : 0;
         if (!unsigned_answer)
             answer.headers.add("Response-Signature", "signed-" + id);
+        if (this->state.errors > 0)
+        {
+            this->state.errors--;
+            answer.status = this->state.error_status;
+            answer.body = "no";
+            return answer;
+        }
         if (asked.body == "impossible" || asked.body == "failing")
         {
             answer.status = asked.body == "impossible" ? 422 : 500;
@@ -305,6 +315,9 @@
             this->state.endless_unsigned =
                 change.value("endless_unsigned", this->state.endless_unsigned);
             this->state.full = change.value("full", this->state.full);
+            this->state.errors = change.value("errors", this->state.errors);
+            this->state.error_status =
+                change.value("error_status", this->state.error_status);
             this->state.leaving = change.value("leaving", this->state.leaving);
             this->state.deadly = change.value("deadly", this->state.deadly);
             this->state.deadly_after_head = change.value(
@@ -317,6 +330,7 @@
                   {"asked", this->state.asked},
                   {"running", this->state.running},
                   {"received", this->state.received},
+                  {"errors", this->state.errors},
                   {"deadly_runs", this->state.deadly_runs},
                   {"crashes", this->state.crashes},
                   {"starting", std::chrono::steady_clock::now() <
