--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -3,6 +3,8 @@
 #include <fstream>
 #include <sstream>
 
+#include <nlohmann/json.hpp>
+
 #include "base64.hpp"
 #include "core/quarantine/crash_report.hpp"
 #include "errors/failure.hpp"
@@ -47,6 +49,34 @@
     return path;
 }
 
+using worker_list = std::vector<core::endpoints::endpoint>;
+
+worker_list decode_worker(const std::string& key, const std::string& value)
+{
+    boost::asio::io_context loop;
+    no_store none;
+    store::mirror copy(loop, none, {"servers/", {}, 1s, {}, {}, {}});
+    copy.adopt({store::outcome::done, 2, {{key, value, 1, false}}, {}});
+    platform::worker_entries decoder;
+    return decoder.decode(copy);
+}
+
+/// @brief The entry of a sound worker with one field set to a JSON text.
+std::string worker_with(const std::string& field, const std::string& text)
+{
+    nlohmann::json entry = {{"service", "p"}, {"address", "127.0.0.1:1"},
+                            {"zone", "a"},    {"slots", 8},
+                            {"born", 7},      {"state", "ready"}};
+    entry.erase(field);
+    auto rest = entry.dump();
+    return "{\"" + field + "\":" + text + "," + rest.substr(1);
+}
+
+std::string nested(std::size_t levels)
+{
+    return std::string(levels, '[') + std::string(levels, ']');
+}
+
 } // namespace
 
 TEST_CASE("prompt, parts in order, gives those that requests share")
@@ -195,6 +225,24 @@
     CHECK(count == 10);
 }
 
+TEST_CASE("worker entry, deeply nested or of many values, is ignored")
+{
+    CHECK(
+        decode_worker("servers/i-1", worker_with("models", nested(8))).size() ==
+        1);
+    CHECK(decode_worker("servers/i-1", worker_with("models", nested(100)))
+              .empty());
+    CHECK(decode_worker("servers/i-1", worker_with("models", nested(40000)))
+              .empty());
+    std::string many = "[0";
+    for (int at = 0; at < 40000; at++)
+        many += ",0";
+    CHECK(decode_worker("servers/i-1", worker_with("models", many + "]"))
+              .empty());
+    auto text = '"' + std::string(1u << 20, 'x') + '"';
+    CHECK(decode_worker("servers/i-1", worker_with("models", text)).empty());
+}
+
 TEST_CASE("base64, all lengths, round trips; rubbish is refused")
 {
     for (std::size_t size = 0; size < 70; size++)
