platform: Check the numbers of workers' entries

Of an entry with far too many, most requests would go to its address, as endpoints are drawn by their slots.

Cause: slots and born were converted without a check. Converting a float that the integer can't hold is undefined, so that x86-64 and arm64 may also differ.

--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -243,6 +243,33 @@
     CHECK(decode_worker("servers/i-1", worker_with("models", text)).empty());
 }
 
+TEST_CASE("worker entry, number negative, fractional or too large, is ignored")
+{
+    auto number =
+        GENERATE("-1", "0.5", "7.5", "1e300", "-1e300", "18446744073709551615",
+                 "123456789012345678901234", "1e999", "true", "\"8\"", "null");
+    auto field = GENERATE("slots", "born");
+    INFO(field << " " << number);
+    CHECK(decode_worker("servers/i-1", worker_with(field, number)).empty());
+}
+
+TEST_CASE("worker entry, more slots than an endpoint can have, is ignored")
+{
+    auto number = GENERATE("65537", "4294967297", "1000000000000");
+    INFO(number);
+    CHECK(decode_worker("servers/i-1", worker_with("slots", number)).empty());
+}
+
+TEST_CASE("worker entry, number whole in another notation, is used")
+{
+    auto found = decode_worker("servers/i-1", worker_with("slots", "8.0"));
+    REQUIRE(found.size() == 1);
+    CHECK(found[0].slots == 8);
+    found = decode_worker("servers/i-1", worker_with("born", "1.7e12"));
+    REQUIRE(found.size() == 1);
+    CHECK(found[0].started_ms == 1700000000000);
+}
+
 TEST_CASE("base64, all lengths, round trips; rubbish is refused")
 {
     for (std::size_t size = 0; size < 70; size++)
