platform: Check the addresses of workers' entries

An entry with an address to which no connection can be opened, such as one with port 70000, was listed as a worker. Requests were given to it until its failures excluded it, and again once that time was over.

Cause: the address wasn't looked at until the connect, and digits that were followed by other text ("127.0.0.1:80x") passed as a port there, too.

An error repeats at most 80 bytes of an address.

An end of the process was ruled out: the connect already answered a bad address as not sent.

--- a/source/http/socket_options.cpp
+++ b/source/http/socket_options.cpp
@@ -22,6 +22,9 @@
 // The connection fails if sent bytes stay unacknowledged for the same time.
 constexpr int unacknowledged_limit_ms = 3000;
 
+// The longest part of a malformed address that its error repeats.
+constexpr std::size_t reported_bytes = 80;
+
 void set_option(int socket, int level, int name, int value)
 {
     setsockopt(socket, level, name, &value, sizeof value);
@@ -45,14 +48,20 @@
     auto colon = address.rfind(':');
     boost::system::error_code error;
     auto ip = boost::asio::ip::make_address_v4(address.substr(0, colon), error);
-    unsigned port = 0;
+    std::uint16_t port = 0;
+    auto end = address.data() + address.size();
+    bool port_read = false;
     if (colon != address.npos)
-        std::from_chars(address.data() + colon + 1,
-                        address.data() + address.size(), port);
-    if (error || port == 0 || port > 65535)
-        throw errors::failure("parse address", address,
+    {
+        auto [parsed_end, failed] =
+            std::from_chars(address.data() + colon + 1, end, port);
+        port_read = failed == std::errc() && parsed_end == end && port != 0;
+    }
+    if (error || !port_read)
+        throw errors::failure("parse address",
+                              address.substr(0, reported_bytes),
                               "it isn't IP:PORT; write it with numbers");
-    return {ip, static_cast<std::uint16_t>(port)};
+    return {ip, port};
 }
 
 } // namespace amaranthhatch::http
--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -270,6 +270,17 @@
     CHECK(found[0].started_ms == 1700000000000);
 }
 
+TEST_CASE("worker entry, address that can't be called, is ignored")
+{
+    auto address = GENERATE("127.0.0.1:65536", "127.0.0.1:0", "127.0.0.1:-1",
+                            "127.0.0.1:", "127.0.0.1", "127.0.0.1:80x",
+                            "127.0.0.1:99999999999999999999", "127.0.0.1: 80",
+                            "host:80", ":80", "", "127.0.0.1:80\\r\\nX: y");
+    INFO(address);
+    auto text = '"' + std::string(address) + '"';
+    CHECK(decode_worker("servers/i-1", worker_with("address", text)).empty());
+}
+
 TEST_CASE("base64, all lengths, round trips; rubbish is refused")
 {
     for (std::size_t size = 0; size < 70; size++)
