platform: Check the ids of workers' entries

The key of an entry may hold any bytes. An id with a line break was used as the id of a worker, and as the value of the header that names the worker to which a request is sent: what followed the line break reached the worker as lines of its own.

Ids must now be visible ASCII, which can't change the form of a request.

--- a/source/http/message_text.cpp
+++ b/source/http/message_text.cpp
@@ -1,5 +1,6 @@
 #include "http/message_text.hpp"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 
@@ -67,6 +68,13 @@
     return false;
 }
 
+bool is_visible_text(std::string_view text)
+{
+    return std::all_of(text.begin(), text.end(),
+                       [](char character)
+                       { return character > ' ' && character <= '~'; });
+}
+
 std::string head_text(int status, const header_list& headers,
                       std::optional<std::size_t> length, bool keep_alive)
 {
--- a/source/http/message_text.hpp
+++ b/source/http/message_text.hpp
@@ -19,6 +19,10 @@
 /// or to the framing of one message.
 bool is_connection_header(std::string_view name);
 
+/// @brief True if a text has visible ASCII characters only, so that it may
+/// stand in a request line or a header without changing their form.
+bool is_visible_text(std::string_view text);
+
 /// @brief The status line and headers of a response.
 ///
 /// The body is framed by its length or, without one, by chunks. Connection
--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -281,6 +281,15 @@
     CHECK(decode_worker("servers/i-1", worker_with("address", text)).empty());
 }
 
+TEST_CASE("worker entry, id that can't be a header's value, is ignored")
+{
+    auto id =
+        GENERATE("i-1\r\nX-Other: 1", "i 1", "i\t1", "i-\x7f", "i-\xff", "");
+    INFO(id);
+    CHECK(decode_worker(std::string("servers/") + id, worker_with("born", "7"))
+              .empty());
+}
+
 TEST_CASE("base64, all lengths, round trips; rubbish is refused")
 {
     for (std::size_t size = 0; size < 70; size++)
