platform: Read workers' entries only when they change

At each change of the list, several times a second with many workers, all entries were parsed again, an odd one of any cost among them. An odd entry that its writer goes on writing was logged at each write.

Entries are now kept as read, by their revision, and parsed again only when that changes. An entry that names no worker is logged when the reason changes, with key, field and reason.

The processor time was not measured.

--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -8,6 +8,7 @@
 #include "base64.hpp"
 #include "core/quarantine/crash_report.hpp"
 #include "errors/failure.hpp"
+#include "logging/event.hpp"
 #include "node_settings.hpp"
 #include "operator_entries.hpp"
 #include "prompt_parts.hpp"
@@ -290,6 +291,48 @@
               .empty());
 }
 
+TEST_CASE("worker entries, odd one among them, is read and logged once, not at "
+          "each change of the list")
+{
+    int lines = 0;
+    logging::install(
+        [&](logging::level, std::string_view name, std::string_view)
+        { lines += name == "endpoint_entry_ignored" ? 1 : 0; });
+    boost::asio::io_context loop;
+    no_store none;
+    store::mirror copy(loop, none, {"servers/", {}, 1s, {}, {}, {}});
+    platform::worker_entries decoder;
+    auto sound = worker_with("born", "7");
+    auto odd = worker_with("models", nested(100));
+    auto list = [&](std::uint64_t revision, std::uint64_t odd_revision)
+    {
+        copy.adopt({store::outcome::done,
+                    revision,
+                    {{"servers/i-1", sound, revision, false},
+                     {"servers/i-2", sound, 1, false},
+                     {"servers/odd", odd, odd_revision, false}},
+                    {}});
+        return decoder.decode(copy).size();
+    };
+    for (std::uint64_t revision = 2; revision < 12; revision++)
+        CHECK(list(revision, 1) == 2);
+    CHECK(lines == 1);
+    CHECK(decoder.reads() == 12);
+    // Its writer goes on writing it.
+    CHECK(list(12, 12) == 2);
+    CHECK(list(13, 13) == 2);
+    CHECK(lines == 1);
+    odd = "not JSON";
+    CHECK(list(14, 14) == 2);
+    CHECK(lines == 2);
+    odd = sound;
+    CHECK(list(15, 15) == 3);
+    odd = "not JSON";
+    CHECK(list(16, 16) == 2);
+    CHECK(lines == 3);
+    logging::install({});
+}
+
 TEST_CASE("base64, all lengths, round trips; rubbish is refused")
 {
     for (std::size_t size = 0; size < 70; size++)
