tests: Keep odd entries beside served requests

Nine odd entries stand beside those of the workers while requests are served, a worker writes its own again and again and an entry restarts: deeply nested, opened without end, slots of 1e12, -1 and 40.5, port 70000, bytes that aren't JSON, and keys without an id or with a line break.

--- a/tests/platform/online_path_test.cpp
+++ b/tests/platform/online_path_test.cpp
@@ -47,6 +47,38 @@
     tests::platform_fleet fleet;
 };
 
+/// @brief The most memory that a process has had resident so far.
+std::size_t peak_memory_kb(pid_t process)
+{
+    std::ifstream status("/proc/" + std::to_string(process) + "/status");
+    for (std::string line; std::getline(status, line);)
+        if (line.starts_with("VmHWM:"))
+            return std::stoul(line.substr(line.find_first_of("0123456789")));
+    return 0;
+}
+
+/// @brief Entries beside those of the workers that name an address but, for
+/// what else they say, no worker.
+json odd_entries(const std::string& address)
+{
+    std::string sound = R"({"service":"pool","address":")" + address +
+                        R"(","zone":"zone-a","state":"ready","slots":)";
+    constexpr std::size_t levels = 400000;
+    auto deep = std::string(levels, '[') + std::string(levels, ']');
+    std::string unreachable =
+        R"({"service":"pool","address":"127.0.0.1:70000","zone":"zone-a",)"
+        R"("state":"ready","slots":40})";
+    return {{"servers/a-deep", sound + R"(40,"models":)" + deep + "}"},
+            {"servers/a-open", std::string(levels, '[')},
+            {"servers/b-large", sound + "1e12}"},
+            {"servers/b-negative", sound + "-1}"},
+            {"servers/b-fraction", sound + "40.5}"},
+            {"servers/c-port", unreachable},
+            {"servers/d-text", "\u0001 not JSON"},
+            {"servers/", sound + "40}"},
+            {"servers/e\r\nX-Other: 1", sound + "40}"}};
+}
+
 std::vector<std::string> row_fields(const std::string& line)
 {
     std::vector<std::string> out;
@@ -214,6 +246,60 @@
         10s));
 }
 
+TEST_CASE_METHOD(online_path,
+                 "odd entries beside those of the workers, name no worker, "
+                 "hide none and end no host")
+{
+    tests::raw_server wrong("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n");
+    auto entry = [this](std::size_t at)
+    { return this->fleet.entries[at].process->id(); };
+    auto before_kb = peak_memory_kb(entry(0));
+    fleet::admin(this->fleet.store, {{"set", odd_entries(wrong.address())}});
+    int number = 0;
+    auto serve = [&](std::size_t at)
+    {
+        for (int count = 0; count < 20; count++)
+        {
+            auto id = "r" + std::to_string(number++);
+            CHECK(this->fleet.call(at, "POST", "/once/x", id, "b").status ==
+                  200);
+        }
+    };
+    for (int change = 0; change < 3; change++)
+    {
+        std::this_thread::sleep_for(600ms);
+        this->fleet.register_worker(1, "ready");
+        serve(0);
+        serve(1);
+    }
+    this->fleet.entries[1].restart();
+    REQUIRE(fleet::eventually(
+        [this] {
+            return this->fleet.call(1, "POST", "/once/x", "r", "b").status ==
+                   200;
+        },
+        10s));
+    serve(1);
+    CHECK(wrong.served() == 0);
+    CHECK(this->fleet.entries[0].process->running());
+    constexpr std::size_t allowed_kb = 16u << 10;
+    CHECK(peak_memory_kb(entry(0)) - before_kb < allowed_kb);
+    auto log = this->fleet.log_of(this->fleet.entries[0]);
+    std::size_t lines = 0;
+    for (auto at = log.find("endpoint_entry_ignored"); at != log.npos;
+         at = log.find("endpoint_entry_ignored", at + 1))
+        lines++;
+    CHECK(lines == odd_entries(wrong.address()).size());
+
+    // The list is still followed.
+    this->fleet.drop_worker(0);
+    std::this_thread::sleep_for(2s);
+    auto runs_before = fleet::counters(this->fleet.workers[0]).at("runs");
+    serve(0);
+    serve(1);
+    CHECK(fleet::counters(this->fleet.workers[0]).at("runs") == runs_before);
+}
+
 TEST_CASE_METHOD(online_path,
                  "stream without a length, closed before its first "
                  "event, is not given as complete")
