store: Keep no over-long value of an endpoint's entry

One entry of 1 MB beside those of the workers was kept and sent, whole, to each host of the zone at each change of the list, although it names no worker: a copy of the list with it takes 1 MB, within the 500 ms that a host waits for one.

The mirror of the endpoints keeps at most 128 KB of one value, the bound up to which an entry is read, and keeps a longer one as empty. Its key and revision stay, so that copies name the same changes as before.

Evidence: "mirror, value over its limit, ..." can't be built without the limit. The traffic between hosts was not measured; the host that reads the store still receives the value.

--- a/source/host/host_runtime.cpp
+++ b/source/host/host_runtime.cpp
@@ -50,6 +50,9 @@
 // The registration of an endpoint that has crashed is gone by then: it expires
 // after three heartbeats, and the next list call shows that.
 constexpr int crash_heartbeats = 5;
+// An endpoint's entry takes some hundred bytes, more if it names many models;
+// all hosts of a zone fetch copies of all entries.
+constexpr std::size_t endpoint_value_limit = 128u << 10;
 // Number of reads of the endpoint entries within the drain time, in which hosts
 // have to notice that an endpoint leaves.
 constexpr int reads_in_drain = 3;
@@ -138,7 +141,8 @@
                 endpoint_interval(this->current_settings),
                 expiry_grace,
                 this->current_settings.heartbeat * expiry_heartbeats,
-                {}});
+                {},
+                endpoint_value_limit});
     for (std::size_t part = 0; part < part_count; part++)
         this->mirrors[part]->on_change(
             [this, part]
--- a/source/store/mirror.cpp
+++ b/source/store/mirror.cpp
@@ -116,7 +116,7 @@
         if (event.removed)
             this->current_entries.erase(found);
         else
-            this->current_entries[event.key] = event;
+            this->current_entries[event.key] = this->limited(event);
     }
     this->as_of_revision = std::max(this->as_of_revision, changes.revision);
     if (changed)
@@ -160,7 +160,7 @@
         this->changed_revision =
             std::max(this->changed_revision, listed_entry.revision);
         next_entries[listed_entry.key] =
-            unchanged ? found->second : listed_entry;
+            unchanged ? found->second : this->limited(listed_entry);
         this->expired.erase(listed_entry.key);
     }
     for (const auto& [key, old] : this->current_entries)
@@ -205,6 +205,18 @@
         this->report_change();
 }
 
+entry mirror::limited(const entry& received) const
+{
+    if (this->options.value_limit == 0 ||
+        received.value.size() <= this->options.value_limit)
+        return received;
+    logging::event(logging::level::warning, "store_value_too_long")
+        .with("key", received.key)
+        .with("bytes", static_cast<std::int64_t>(received.value.size()))
+        .with("limit", static_cast<std::int64_t>(this->options.value_limit));
+    return {received.key, {}, received.revision, received.removed};
+}
+
 bool mirror::adopt(const listing& peer_copy)
 {
     if (peer_copy.revision <= this->as_of_revision)
--- a/source/store/mirror.hpp
+++ b/source/store/mirror.hpp
@@ -37,6 +37,9 @@
     /// Pause between a change and the next watch call, per entry: many changes
     /// at one time, as when all hosts register, then take few calls.
     core::milliseconds watch_pause_per_entry{};
+    /// Bytes of the longest value that is kept; 0: no limit. A longer one is
+    /// kept as an empty value, so that copies of the entries stay small.
+    std::size_t value_limit = 0;
 };
 
 /// @brief A local copy of the entries with one key prefix. Its revision never
@@ -115,6 +118,7 @@
     bool retain_expired(const std::string& key, const listing& listed,
                         core::instant now);
     void remove_expired();
+    entry limited(const entry& received) const;
     void retry();
     void record_success();
     void schedule(core::milliseconds after);
--- a/tests/core/shell_io_test.cpp
+++ b/tests/core/shell_io_test.cpp
@@ -199,6 +199,34 @@
     CHECK(log.identity() != first);
 }
 
+TEST_CASE("mirror, value over its limit, is kept as empty and copied so")
+{
+    boost::asio::io_context loop;
+    scripted_store source;
+    store::mirror mirror(
+        loop, source,
+        {"servers/", store::mirror_mode::watch, 1000ms, {}, {}, {}, 1000});
+    mirror.start();
+    std::string longest(1000, 'x');
+    std::string too_long(1001, 'x');
+    source.respond_to_list({store::outcome::done,
+                            5,
+                            {{"servers/1", longest, 3, false},
+                             {"servers/2", too_long, 4, false}}});
+    source.respond_to_watch(
+        {store::outcome::done, 6, {{"servers/3", too_long, 6, false}}});
+    CHECK(mirror.find("servers/1")->value == longest);
+    CHECK(mirror.find("servers/2")->value.empty());
+    CHECK(mirror.find("servers/3")->value.empty());
+    auto copy = mirror.snapshot();
+    REQUIRE(copy.entries.size() == 3);
+    CHECK(copy.entries[2].revision == 6);
+    CHECK(copy.entries[2].value.empty());
+    CHECK(mirror.adopt(
+        {store::outcome::done, 9, {{"servers/4", too_long, 8, false}}}));
+    CHECK(mirror.find("servers/4")->value.empty());
+}
+
 TEST_CASE_METHOD(watching_mirror, "mirror, late events, never bring back old")
 {
     this->source.respond_to_list(listing_at(10, {{"op/a", "new", 9, false}}));
