platform: Read store items one by one

One item whose value isn't base64, or that lacks a field, made the whole list or watch answer count as refused. The mirror then asked again without end: its host stopped following the list of the workers, or the operator.

Cause: one exception covered all items of an answer.

Each item is now read by itself. One with a key and a revision but an unreadable value is kept with an empty value, which names no worker, and is logged once; one without them is left out. The next page begins after the last key of this one whether or not that item could be read; a page that has more but no such key is refused, so that pages are not read without end.

--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -75,6 +75,13 @@
     std::optional<platform::store_client> client;
 };
 
+std::string json_answer(const std::string& body)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+           "Content-Length: " +
+           std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
 } // namespace
 
 TEST_CASE_METHOD(store_contract, "store client, pages, are read to the end")
@@ -153,6 +160,51 @@
     CHECK(closing.served() == 2);
 }
 
+TEST_CASE_METHOD(store_contract,
+                 "store client, item that can't be read, hides no other")
+{
+    auto odd = GENERATE(R"({"key":"a/odd","value":"a*","revision":4})",
+                        R"({"key":"a/odd","value":7,"revision":4})",
+                        R"({"key":"a/odd","revision":4})",
+                        R"({"key":"a/odd","value":"eA==","revision":"4"})",
+                        R"({"key":"a/odd","value":"eA==","revision":-4})",
+                        R"({"key":7,"value":"eA==","revision":4})",
+                        R"("a/odd")", "null");
+    INFO(odd);
+    std::string items =
+        std::string(R"([{"key":"a/1","value":"eA==","revision":3},)") + odd +
+        R"(,{"key":"a/2","value":"eQ==","revision":5}])";
+    tests::raw_server listing(json_answer(
+        R"({"items":)" + items + R"(,"has_more":false,"current_rev":9})"));
+    tests::raw_server changes(
+        json_answer(R"({"events":)" + items + R"(,"current_rev":9})"));
+    this->client->set_address(listing.address());
+    auto listed = this->list("a/");
+    this->client->set_address(changes.address());
+    auto seen = this->watch("a/", 2, 50ms);
+    for (const auto& got : {listed, seen})
+    {
+        CHECK(got.result == outcome::done);
+        CHECK(got.revision == 9);
+        REQUIRE(got.entries.size() >= 2);
+        CHECK(got.entries.front().value == "x");
+        CHECK(got.entries.back().value == "y");
+        for (const auto& each : got.entries)
+            if (each.key == "a/odd")
+                CHECK(each.value.empty());
+    }
+}
+
+TEST_CASE_METHOD(store_contract,
+                 "store client, page without a key to go on from, is refused")
+{
+    tests::raw_server endless(json_answer(
+        R"({"items":[{"key":7}],"has_more":true,"current_rev":9})"));
+    this->client->set_address(endless.address());
+    CHECK(this->list("a/").result == outcome::refused);
+    CHECK(endless.served() == 1);
+}
+
 TEST_CASE_METHOD(store_contract, "store client, failures, are told apart")
 {
     fleet::admin(this->fleet.store, {{"lose_answers", 1}});
