platform: Report store answers with unreadable numbers as unknown

A commit or grant that the store answered with a text or a negative number for the revision or lease threw in the handler of the answer. The loop went on, but the call never ended: a registration, for one, was not tried again.

--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -205,6 +205,21 @@
     CHECK(endless.served() == 1);
 }
 
+TEST_CASE_METHOD(store_contract,
+                 "store client, numbers of an answer can't be read, says that "
+                 "its outcome is unknown")
+{
+    auto body = GENERATE(R"({"revision":"x","lease":"x","ttl_ms":"x"})",
+                         R"({"revision":-1,"lease":-1,"ttl_ms":-1})",
+                         R"({"revision":1e300,"lease":1e300,"ttl_ms":1e300})",
+                         "{", "7", "{}", "");
+    INFO(body);
+    tests::raw_server odd(json_answer(body));
+    this->client->set_address(odd.address());
+    CHECK(this->write("k", "one", 0).result == outcome::unknown);
+    CHECK(this->grant(10000ms).result == outcome::unknown);
+}
+
 TEST_CASE_METHOD(store_contract, "store client, failures, are told apart")
 {
     fleet::admin(this->fleet.store, {{"lose_answers", 1}});
