--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -8,6 +8,7 @@
 #include "base64.hpp"
 #include "core/quarantine/crash_report.hpp"
 #include "errors/failure.hpp"
+#include "job_body.hpp"
 #include "logging/event.hpp"
 #include "node_settings.hpp"
 #include "operator_entries.hpp"
@@ -73,6 +74,25 @@
     return "{\"" + field + "\":" + text + "," + rest.substr(1);
 }
 
+/// @brief Reads a job of one item with one field set to a JSON text.
+core::batches::job decode_job_with(const std::string& field,
+                                   const std::string& text)
+{
+    nlohmann::json item = {{"id", "i"},
+                           {"path", "/x"},
+                           {"headers", nlohmann::json::object()},
+                           {"body", "eA=="},
+                           {"tokens", 10}};
+    item.erase(field);
+    http::request asked;
+    asked.headers.add("Request-Id", "j");
+    asked.headers.add("Host", "one.example");
+    asked.path = "/j/1";
+    asked.body = "{\"items\":[{\"" + field + "\":" + text + "," +
+                 item.dump().substr(1) + "]}";
+    return platform::decode_job(asked);
+}
+
 std::string nested(std::size_t levels)
 {
     return std::string(levels, '[') + std::string(levels, ']');
@@ -333,6 +353,16 @@
     logging::install({});
 }
 
+TEST_CASE("job body, deeply nested or of many values, is refused")
+{
+    CHECK(decode_job_with("extra", "[[]]").items.size() == 1);
+    CHECK_THROWS_AS(decode_job_with("extra", nested(100000)), errors::failure);
+    std::string many = "[{}";
+    for (int at = 0; at < 100000; at++)
+        many += ",{}";
+    CHECK_THROWS_AS(decode_job_with("extra", many + "]"), errors::failure);
+}
+
 TEST_CASE("base64, all lengths, round trips; rubbish is refused")
 {
     for (std::size_t size = 0; size < 70; size++)
