platform: Check the tokens of job items

An item with -1, 0.5, 1e300, 2^64-1 or true for its tokens was accepted, as an unchecked conversion made some number of it. The sum of the tokens that wait on a route bounds what is accepted, and could wrap around with them.

--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -363,6 +363,15 @@
     CHECK_THROWS_AS(decode_job_with("extra", many + "]"), errors::failure);
 }
 
+TEST_CASE("job body, tokens negative, fractional or too large, is refused")
+{
+    CHECK(decode_job_with("tokens", "940").items[0].tokens == 940);
+    auto number = GENERATE("-1", "0.5", "1e300", "18446744073709551615",
+                           "1e999", "true", "null");
+    INFO(number);
+    CHECK_THROWS_AS(decode_job_with("tokens", number), errors::failure);
+}
+
 TEST_CASE("base64, all lengths, round trips; rubbish is refused")
 {
     for (std::size_t size = 0; size < 70; size++)
