platform: Check what job items put into requests

The id, path and headers of a job's items are JSON texts, which may hold line breaks. They were written into the request to a worker as they came: a path with a line break ended the request line, and what followed it reached the worker as headers or as a request of its own. An id with a blank or an empty path made a request that is none.

Values with blanks, tabs and letters beyond ASCII still pass.

--- a/source/http/message_text.cpp
+++ b/source/http/message_text.cpp
@@ -75,6 +75,26 @@
                        { return character > ' ' && character <= '~'; });
 }
 
+bool is_header_name(std::string_view text)
+{
+    constexpr std::string_view separators = "\"(),/:;<=>?@[\\]{}";
+    return !text.empty() && is_visible_text(text) &&
+           text.find_first_of(separators) == text.npos;
+}
+
+bool is_header_value(std::string_view text)
+{
+    constexpr char last_control = '\x1f';
+    constexpr char deleted = '\x7f';
+    return std::none_of(text.begin(), text.end(),
+                        [](char character)
+                        {
+                            auto code = static_cast<unsigned char>(character);
+                            return (code <= last_control && code != '\t') ||
+                                   code == deleted;
+                        });
+}
+
 std::string head_text(int status, const header_list& headers,
                       std::optional<std::size_t> length, bool keep_alive)
 {
--- a/source/http/message_text.hpp
+++ b/source/http/message_text.hpp
@@ -23,6 +23,13 @@
 /// stand in a request line or a header without changing their form.
 bool is_visible_text(std::string_view text);
 
+/// @brief True if a text is a header's name (RFC 9110, 5.6.2).
+bool is_header_name(std::string_view text);
+
+/// @brief True if a text may be a header's value: any characters but control
+/// characters, which could end its line.
+bool is_header_value(std::string_view text);
+
 /// @brief The status line and headers of a response.
 ///
 /// The body is framed by its length or, without one, by chunks. Connection
--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -372,6 +372,30 @@
     CHECK_THROWS_AS(decode_job_with("tokens", number), errors::failure);
 }
 
+TEST_CASE("job body, text that would change the form of a request, is refused")
+{
+    auto text = GENERATE(
+        R"("id":"i\r\nX-Other: 1")", R"("id":"")", R"("id":"i 1")",
+        R"("path":"/x HTTP/1.1\r\nX-Other: 1\r\n\r\nGET /y")", R"("path":"")",
+        R"("path":"/x y")", R"("headers":{"Model":"m\r\nX-Other: 1"})",
+        R"("headers":{"Model":"m\u0000"})",
+        R"("headers":{"Model: m\r\nX-Other":"1"})", R"("headers":{"":"1"})",
+        R"("headers":{"A B":"1"})", R"("headers":["m"])");
+    INFO(text);
+    std::string field(text);
+    auto colon = field.find(':');
+    CHECK_THROWS_AS(
+        decode_job_with(field.substr(1, colon - 2), field.substr(colon + 1)),
+        errors::failure);
+}
+
+TEST_CASE("job body, headers with blanks and letters beyond ASCII, is read")
+{
+    auto job = decode_job_with("headers", R"({"X-Name":"a b\tc \u00e9"})");
+    REQUIRE(job.items[0].headers.size() == 1);
+    CHECK(job.items[0].headers[0].second == "a b\tc \xc3\xa9");
+}
+
 TEST_CASE("base64, all lengths, round trips; rubbish is refused")
 {
     for (std::size_t size = 0; size < 70; size++)
