platform: Check the numbers of the operator's configuration

The configuration is now read by packing/json_fields, too, with bounded depth and with ranges for all numbers. A route or service that is wrong is left out with a line that names the field, as before.

A use of the whole stack by copies of nested limits was ruled out for 100,000 levels: the old code read them.

--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -214,6 +214,36 @@
     }
 }
 
+TEST_CASE("configuration, deeply nested, is none")
+{
+    auto deep = nested(100000);
+    for (const auto& text :
+         {R"({"version":1,"routes":[],"services":[],"limits":{"x":)" + deep +
+              "}}",
+          R"({"version":1,"routes":[],"services":[],"x":)" + deep + "}"})
+        CHECK_FALSE(platform::decode_configuration(text));
+}
+
+TEST_CASE("configuration, number out of range in a route, leaves that route "
+          "out only")
+{
+    auto field = GENERATE("timeout_ms", "retention_s", "max_attempts",
+                          "priority", "max_count", "target_gap_ms");
+    auto number = GENERATE("-1", "1e300", "18446744073709551615", "\"1\"");
+    INFO(field << " " << number);
+    std::string route = R"("host":"one.example","kind":"idempotent",)"
+                        R"("service":"p",)";
+    std::string text =
+        R"({"version":3,"services":[],"routes":[{"name":"a","prefix":"/a/",)" +
+        route + '"' + field + "\":" + number +
+        R"(},{"name":"b","prefix":"/b/",)" + route + R"("timeout_ms":50.5}]})";
+    auto table = platform::decode_configuration(text);
+    REQUIRE(table);
+    CHECK(table->match("one.example", "/a/1") == nullptr);
+    REQUIRE(table->match("one.example", "/b/1") != nullptr);
+    CHECK(table->match("one.example", "/b/1")->timeout == 50ms);
+}
+
 TEST_CASE("worker entries, the table's, are used or ignored")
 {
     std::istringstream rows(read_case("workers.csv"));
