http: Send streams to HTTP/1.0 callers without chunks

A caller that speaks HTTP/1.0 got streamed responses in chunks, which that version doesn't have: it took the headers of the chunks for the body. As its body ends with the connection, a stream that broke off looked complete to it.

Cause: the version of a request wasn't looked at.

Such a caller now gets the body as it is, with "Connection: close", up to the end of the connection. From the first byte of such a response on, the connection is set to be reset when its socket is closed, by the process or by its end; only a response that was ended as complete and is wholly written ends it in order. A broken stream, a caller that reads too slowly and the end of the process thus can't look like the end of the body. The option is set on the socket itself, as the library takes its own back when it destroys a socket.

That a killed process resets the connection follows from the option and was not run.

--- a/source/http/async_server.cpp
+++ b/source/http/async_server.cpp
@@ -41,6 +41,8 @@
 constexpr int listen_backlog = 1024;
 // A caller that has connected sends its request within this time.
 constexpr std::chrono::milliseconds first_request_wait{300};
+// Versions as the parser gives them.
+constexpr unsigned http_1_1 = 11;
 // Another host can take the request at once.
 constexpr std::string_view retry_after_stop = "0.1";
 
@@ -124,6 +126,9 @@
     void end_exchange();
     void handle_disconnect();
     bool keep_alive() const;
+    std::string head(int status, const header_list& headers,
+                     std::size_t length) const;
+    bool cut_unmarked() const;
 
     using parser = beast::http::request_parser<beast::http::string_body>;
 
@@ -141,8 +146,13 @@
     bool counted = false;
     bool head_seen = false;
     bool fresh = true;
+    /// True if the request's version is HTTP/1.0, which has no chunks.
+    bool old_version = false;
+    body_framing framing = body_framing::length;
     bool response_begun = false;
     bool response_ended = false;
+    /// True if the response was ended as complete.
+    bool response_whole = false;
     bool caller_closes = false;
     bool close_after_write = false;
     bool closed = false;
@@ -157,6 +167,8 @@
         static_cast<std::uint32_t>(limits.header_bytes));
     this->reading->body_limit(limits.body_bytes);
     this->head_seen = false;
+    this->old_version = false;
+    this->framing = body_framing::length;
     this->deadline = steady::now() + limits.idle_time;
     auto self = this->shared_from_this();
     // The time limit for the header starts with its first byte.
@@ -194,6 +206,7 @@
                       : this->close();
     }
     this->deadline = steady::now() + this->owner->limits().idle_time;
+    this->old_version = this->reading->get().version() < http_1_1;
     if (!this->reading->is_done() &&
         beast::iequals(this->reading->get()[beast::http::field::expect],
                        "100-continue"))
@@ -233,6 +246,7 @@
     this->caller_closes = !message.keep_alive();
     this->response_begun = false;
     this->response_ended = false;
+    this->response_whole = false;
     this->counted = true;
     this->fresh = false;
     this->owner->in_flight++;
@@ -280,12 +294,20 @@
     return !this->caller_closes && !this->owner->closing;
 }
 
+std::string async_server::session::head(int status, const header_list& headers,
+                                        std::size_t length) const
+{
+    return head_text(status, headers,
+                     {this->framing, length,
+                      this->keep_alive() ? std::string_view() : "close"});
+}
+
 void async_server::session::respond(int status, const header_list& headers,
                                     std::string_view body)
 {
     if (this->response_ended || this->closed)
         return;
-    this->unsent += head_text(status, headers, body.size(), this->keep_alive());
+    this->unsent += this->head(status, headers, body.size());
     this->unsent += body;
     this->end_response();
 }
@@ -295,8 +317,14 @@
     if (this->response_ended || this->closed)
         return;
     this->response_begun = true;
-    this->unsent +=
-        head_text(status, headers, std::nullopt, this->keep_alive());
+    this->framing =
+        this->old_version ? body_framing::connection_end : body_framing::chunks;
+    if (this->framing == body_framing::connection_end)
+    {
+        this->caller_closes = true;
+        set_reset_on_close(this->socket, true);
+    }
+    this->unsent += this->head(status, headers, 0);
     this->flush();
 }
 
@@ -304,7 +332,10 @@
 {
     if (this->response_ended || this->closed || piece.empty())
         return;
-    append_chunk(this->unsent, piece);
+    if (this->framing == body_framing::chunks)
+        append_chunk(this->unsent, piece);
+    else
+        this->unsent += piece;
     if (this->unsent.size() > unsent_limit_bytes)
         return this->handle_disconnect();
     this->flush();
@@ -314,13 +345,15 @@
 {
     if (this->response_ended || this->closed)
         return;
-    this->unsent += last_chunk;
+    if (this->framing == body_framing::chunks)
+        this->unsent += last_chunk;
     this->end_response();
 }
 
 void async_server::session::end_response()
 {
     this->response_ended = true;
+    this->response_whole = true;
     this->clear_callbacks();
     this->close_after_write = !this->keep_alive();
     this->flush();
@@ -332,6 +365,8 @@
         return;
     this->response_ended = true;
     this->clear_callbacks();
+    if (this->cut_unmarked())
+        return this->close();
     // Bytes that were written before are sent first; the missing end mark shows
     // the caller that the response is incomplete.
     this->close_after_write = true;
@@ -440,10 +475,23 @@
     this->closed = true;
     this->end_exchange();
     error_code ignored;
-    this->socket.shutdown(tcp::socket::shutdown_both, ignored);
+    if (!this->cut_unmarked())
+    {
+        if (this->framing == body_framing::connection_end)
+            set_reset_on_close(this->socket, false);
+        this->socket.shutdown(tcp::socket::shutdown_both, ignored);
+    }
     this->socket.close(ignored);
 }
 
+// True if an end of the connection in order would make an incomplete response
+// look complete.
+bool async_server::session::cut_unmarked() const
+{
+    return this->framing == body_framing::connection_end &&
+           (!this->response_whole || this->unsent_bytes() > 0);
+}
+
 // A request may have arrived although the loop hasn't read it yet, and the
 // first one follows its connection at once.
 bool async_server::session::busy() const
--- a/source/http/async_server.hpp
+++ b/source/http/async_server.hpp
@@ -39,6 +39,9 @@
                          std::string_view body) = 0;
 
     /// @brief Starts a response whose body follows in pieces.
+    ///
+    /// Its body is sent in chunks, or up to the end of the connection to
+    /// callers that speak HTTP/1.0.
     virtual void begin(int status, const header_list& headers) = 0;
 
     /// @brief Sends one piece of the body.
@@ -50,8 +53,8 @@
     /// @brief Bytes of the response that aren't written to the socket yet.
     virtual std::size_t unsent_bytes() const = 0;
 
-    /// @brief Closes the connection without the end mark of the body, so that
-    /// the caller sees an incomplete response.
+    /// @brief Closes the connection without the end mark of the body, or resets
+    /// it if the body has none, so that the caller sees an incomplete response.
     virtual void abort() = 0;
 
     /// @brief Sets a function that is called once if the caller disconnects
--- a/source/http/message_text.cpp
+++ b/source/http/message_text.cpp
@@ -96,18 +96,23 @@
 }
 
 std::string head_text(int status, const header_list& headers,
-                      std::optional<std::size_t> length, bool keep_alive)
+                      const response_form& form)
 {
     std::string text = "HTTP/1.1 " + std::to_string(status) + " ";
     text += status_phrase(status);
     text += "\r\n";
     append_headers(text, headers);
-    if (!keep_alive)
-        text += "Connection: close\r\n";
-    if (length)
-        text += "Content-Length: " + std::to_string(*length) + "\r\n\r\n";
-    else
-        text += "Transfer-Encoding: chunked\r\n\r\n";
+    if (!form.connection.empty())
+    {
+        text += "Connection: ";
+        text += form.connection;
+        text += "\r\n";
+    }
+    if (form.framing == body_framing::length)
+        text += "Content-Length: " + std::to_string(form.length) + "\r\n";
+    if (form.framing == body_framing::chunks)
+        text += "Transfer-Encoding: chunked\r\n";
+    text += "\r\n";
     return text;
 }
 
--- a/source/http/message_text.hpp
+++ b/source/http/message_text.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
-#include <optional>
+#include <cstddef>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -30,12 +31,30 @@
 /// characters, which could end its line.
 bool is_header_value(std::string_view text);
 
+/// @brief How a response shows where its body ends.
+enum class body_framing : std::uint8_t
+{
+    length,
+    chunks,
+    /// The body ends with the connection; for HTTP/1.0, which has no chunks.
+    connection_end
+};
+
+/// @brief The parts of a response's head that don't come from its handler.
+struct response_form
+{
+    body_framing framing = body_framing::length;
+    /// Bytes of the body where its framing is a length.
+    std::size_t length = 0;
+    /// The value of the Connection header; none if empty.
+    std::string_view connection;
+};
+
 /// @brief The status line and headers of a response.
 ///
-/// The body is framed by its length or, without one, by chunks. Connection
-/// headers of the list are omitted; the function writes its own.
+/// Connection headers of the list are omitted; the function writes its own.
 std::string head_text(int status, const header_list& headers,
-                      std::optional<std::size_t> length, bool keep_alive);
+                      const response_form& form);
 
 /// @brief The request line and headers of a request.
 ///
--- a/source/http/socket_options.cpp
+++ b/source/http/socket_options.cpp
@@ -43,6 +43,14 @@
     set_option(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_limit_ms);
 }
 
+// The library's own option is switched off again when a socket is destroyed.
+void set_reset_on_close(boost::asio::ip::tcp::socket& socket, bool resets)
+{
+    linger option{resets ? 1 : 0, 0};
+    setsockopt(socket.native_handle(), SOL_SOCKET, SO_LINGER, &option,
+               sizeof option);
+}
+
 boost::asio::ip::tcp::endpoint parse_endpoint(const std::string& address)
 {
     auto colon = address.rfind(':');
--- /dev/null
+++ b/tests/core/http10_test.cpp
@@ -0,0 +1,183 @@
+#include <catch2/catch.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include "http/async_server.hpp"
+
+using namespace amaranthhatch;
+using namespace std::chrono_literals;
+using tcp = boost::asio::ip::tcp;
+using exchange_ptr = std::shared_ptr<http::server_exchange>;
+
+namespace
+{
+
+/// @brief All that a caller has received, and how its connection stands.
+struct received
+{
+    bool closed() const { return this->end == boost::asio::error::eof; }
+    bool reset() const
+    {
+        return this->end == boost::asio::error::connection_reset;
+    }
+    bool has(const std::string& part) const
+    {
+        return this->text.find(part) != this->text.npos;
+    }
+    std::string body() const
+    {
+        return this->text.substr(this->text.find("\r\n\r\n") + 4);
+    }
+
+    std::string text;
+    boost::system::error_code end;
+};
+
+/// @brief A server, with callers that send bytes as they like.
+struct raw_callers
+{
+    raw_callers() : caller(this->client_loop)
+    {
+        tcp::acceptor probe(
+            this->loop,
+            tcp::endpoint(boost::asio::ip::make_address_v4("127.0.0.1"), 0));
+        auto endpoint = probe.local_endpoint();
+        probe.close();
+        this->server = std::make_unique<http::async_server>(
+            this->loop, "127.0.0.1:" + std::to_string(endpoint.port()),
+            [] { return http::server_limits(); },
+            [this](const exchange_ptr& exchange)
+            {
+                this->handled++;
+                this->handle(exchange);
+            });
+        this->caller.connect(endpoint);
+        this->caller.non_blocking(true);
+    }
+
+    void run(std::chrono::milliseconds time)
+    {
+        this->loop.restart();
+        this->loop.run_for(time);
+    }
+
+    void send(const std::string& text)
+    {
+        boost::system::error_code ignored;
+        boost::asio::write(this->caller, boost::asio::buffer(text), ignored);
+        this->run(50ms);
+    }
+
+    received receive()
+    {
+        this->run(50ms);
+        received out;
+        std::string block(1u << 16, '\0');
+        for (;;)
+        {
+            auto count =
+                this->caller.read_some(boost::asio::buffer(block), out.end);
+            if (out.end)
+                return out;
+            out.text.append(block, 0, count);
+        }
+    }
+
+    received ask(const std::string& text)
+    {
+        this->send(text);
+        return this->receive();
+    }
+
+    boost::asio::io_context loop;
+    boost::asio::io_context client_loop;
+    tcp::socket caller;
+    std::unique_ptr<http::async_server> server;
+    std::function<void(const exchange_ptr&)> handle =
+        [](const exchange_ptr& exchange)
+    { exchange->respond(200, {}, "done"); };
+    int handled = 0;
+};
+
+void stream(const exchange_ptr& exchange)
+{
+    exchange->begin(200, {});
+    exchange->write("one");
+    exchange->write("two");
+    exchange->finish();
+}
+
+} // namespace
+
+TEST_CASE_METHOD(raw_callers,
+                 "HTTP/1.0 caller, streamed response, gets its bytes without "
+                 "chunks and the end of the connection")
+{
+    this->handle = stream;
+    auto asked = GENERATE("GET /x HTTP/1.0\r\n\r\n",
+                          "GET /x HTTP/1.0\r\nConnection: keep-alive\r\n\r\n",
+                          "GET /x HTTP/1.0\r\nTE: chunked\r\nHost: h\r\n\r\n");
+    INFO(asked);
+    auto got = this->ask(asked);
+    CHECK(got.text.starts_with("HTTP/1.1 200"));
+    CHECK_FALSE(got.has("Transfer-Encoding"));
+    CHECK_FALSE(got.has("keep-alive"));
+    CHECK(got.has("Connection: close\r\n"));
+    CHECK(got.body() == "onetwo");
+    CHECK(got.closed());
+}
+
+TEST_CASE_METHOD(raw_callers, "HTTP/1.1 caller, streamed response, gets chunks "
+                              "and keeps its connection")
+{
+    this->handle = stream;
+    for (int at = 0; at < 2; at++)
+    {
+        auto got = this->ask("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+        CHECK(got.has("Transfer-Encoding: chunked\r\n"));
+        CHECK_FALSE(got.has("Connection:"));
+        CHECK(got.body() == "3\r\none\r\n3\r\ntwo\r\n0\r\n\r\n");
+        CHECK(got.end == boost::asio::error::would_block);
+    }
+}
+
+TEST_CASE_METHOD(raw_callers, "HTTP/1.0 caller, streamed response breaks off, "
+                              "gets a reset and no end")
+{
+    exchange_ptr open;
+    this->handle = [&](const exchange_ptr& exchange)
+    {
+        exchange->begin(200, {});
+        exchange->write("one");
+        open = exchange;
+    };
+    auto got = this->ask("GET /x HTTP/1.0\r\n\r\n");
+    CHECK(got.body() == "one");
+    CHECK(got.end == boost::asio::error::would_block);
+    auto breaks_off = GENERATE(
+        as<std::function<void(raw_callers&)>>(), [](raw_callers&) {},
+        [](raw_callers& each) { each.server->end_requests(); });
+    breaks_off(*this);
+    open->abort();
+    CHECK(this->receive().reset());
+}
+
+TEST_CASE_METHOD(raw_callers,
+                 "HTTP/1.0 caller that reads too slowly, streamed response "
+                 "given up, gets a reset and no end")
+{
+    this->handle = [](const exchange_ptr& exchange)
+    {
+        exchange->begin(200, {});
+        for (int at = 0; at < 40; at++)
+            exchange->write(std::string(1u << 20, 'x'));
+    };
+    auto got = this->ask("GET /x HTTP/1.0\r\n\r\n");
+    CHECK(got.reset());
+}
