http: Send no 100 Continue to HTTP/1.0 callers

A caller that speaks HTTP/1.0 and sends "Expect: 100-continue" got an interim response, which that version doesn't have: it took the interim response for the response to its request.

The expectation of such a caller is now ignored (RFC 9110, 10.1.1).

Evidence: "HTTP/1.0 caller that expects 100, gets its response only" failed before; HTTP/1.1 callers still get the interim response.

--- a/source/http/async_server.cpp
+++ b/source/http/async_server.cpp
@@ -207,7 +207,7 @@
     }
     this->deadline = steady::now() + this->owner->limits().idle_time;
     this->old_version = this->reading->get().version() < http_1_1;
-    if (!this->reading->is_done() &&
+    if (!this->old_version && !this->reading->is_done() &&
         beast::iequals(this->reading->get()[beast::http::field::expect],
                        "100-continue"))
     {
--- a/tests/core/http10_test.cpp
+++ b/tests/core/http10_test.cpp
@@ -181,3 +181,22 @@
     auto got = this->ask("GET /x HTTP/1.0\r\n\r\n");
     CHECK(got.reset());
 }
+
+TEST_CASE_METHOD(raw_callers,
+                 "HTTP/1.0 caller that expects 100, gets its response only")
+{
+    auto got = this->ask("POST /x HTTP/1.0\r\nExpect: 100-continue\r\n"
+                         "Content-Length: 2\r\n\r\n");
+    CHECK(got.text.empty());
+    got = this->ask("ok");
+    CHECK(got.text.starts_with("HTTP/1.1 200"));
+    CHECK(this->handled == 1);
+}
+
+TEST_CASE_METHOD(raw_callers, "HTTP/1.1 caller that expects 100, gets it")
+{
+    auto got = this->ask("POST /x HTTP/1.1\r\nHost: h\r\n"
+                         "Expect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+    CHECK(got.text == "HTTP/1.1 100 Continue\r\n\r\n");
+    CHECK(this->ask("ok").text.starts_with("HTTP/1.1 200"));
+}
