http: Tell HTTP/1.0 callers that their connection is kept

A caller that speaks HTTP/1.0 and asks to keep its connection had it kept after a response with a length, but wasn't told so: such a caller expects a close and waits for it until the idle time is over.

The response now says "Connection: keep-alive" where the connection is kept.

Evidence: "HTTP/1.0 caller, response with a length, is told whether the connection stays" failed before.

--- a/source/http/async_server.cpp
+++ b/source/http/async_server.cpp
@@ -297,9 +297,12 @@
 std::string async_server::session::head(int status, const header_list& headers,
                                         std::size_t length) const
 {
-    return head_text(status, headers,
-                     {this->framing, length,
-                      this->keep_alive() ? std::string_view() : "close"});
+    response_form form{this->framing, length, {}};
+    if (!this->keep_alive())
+        form.connection = "close";
+    else if (this->old_version)
+        form.connection = "keep-alive";
+    return head_text(status, headers, form);
 }
 
 void async_server::session::respond(int status, const header_list& headers,
--- a/tests/core/http10_test.cpp
+++ b/tests/core/http10_test.cpp
@@ -182,6 +182,23 @@
     CHECK(got.reset());
 }
 
+TEST_CASE_METHOD(raw_callers,
+                 "HTTP/1.0 caller, response with a length, is told whether the "
+                 "connection stays")
+{
+    std::string head = "GET /x HTTP/1.0\r\nHost: h\r\n";
+    auto kept = this->ask(head + "Connection: Keep-Alive\r\n\r\n");
+    CHECK(kept.has("Content-Length: 4\r\n"));
+    CHECK(kept.has("Connection: keep-alive\r\n"));
+    CHECK(kept.body() == "done");
+    CHECK(kept.end == boost::asio::error::would_block);
+    auto last = this->ask(head + "\r\n");
+    CHECK(last.has("Connection: close\r\n"));
+    CHECK(last.body() == "done");
+    CHECK(last.closed());
+    CHECK(this->handled == 2);
+}
+
 TEST_CASE_METHOD(raw_callers,
                  "HTTP/1.0 caller that expects 100, gets its response only")
 {
