http: Send no body in responses to HEAD

Responses to HEAD were sent with their body, by length or in chunks. A caller that keeps its connection took those bytes for its next response. Where the handler has no body, as for a request that was passed on, the response said that the resource has a length of 0.

The head is now all that is sent, with a length only where the handler gave a body; neither chunks nor the end of the connection frame it.

Evidence: both tests "HEAD request, ..." failed before.

--- a/source/http/async_server.cpp
+++ b/source/http/async_server.cpp
@@ -148,6 +148,7 @@
     bool fresh = true;
     /// True if the request's version is HTTP/1.0, which has no chunks.
     bool old_version = false;
+    bool head_request = false;
     body_framing framing = body_framing::length;
     bool response_begun = false;
     bool response_ended = false;
@@ -168,6 +169,7 @@
     this->reading->body_limit(limits.body_bytes);
     this->head_seen = false;
     this->old_version = false;
+    this->head_request = false;
     this->framing = body_framing::length;
     this->deadline = steady::now() + limits.idle_time;
     auto self = this->shared_from_this();
@@ -207,6 +209,8 @@
     }
     this->deadline = steady::now() + this->owner->limits().idle_time;
     this->old_version = this->reading->get().version() < http_1_1;
+    this->head_request =
+        this->reading->get().method() == beast::http::verb::head;
     if (!this->old_version && !this->reading->is_done() &&
         beast::iequals(this->reading->get()[beast::http::field::expect],
                        "100-continue"))
@@ -310,8 +314,13 @@
 {
     if (this->response_ended || this->closed)
         return;
+    // The length of a response to HEAD is that of the body which GET would
+    // have; the handler of a response without one may not know it.
+    bool has_length = !this->head_request || !body.empty();
+    this->framing = has_length ? body_framing::length : body_framing::none;
     this->unsent += this->head(status, headers, body.size());
-    this->unsent += body;
+    if (has_length && !this->head_request)
+        this->unsent += body;
     this->end_response();
 }
 
@@ -322,6 +331,8 @@
     this->response_begun = true;
     this->framing =
         this->old_version ? body_framing::connection_end : body_framing::chunks;
+    if (this->head_request)
+        this->framing = body_framing::none;
     if (this->framing == body_framing::connection_end)
     {
         this->caller_closes = true;
@@ -335,6 +346,8 @@
 {
     if (this->response_ended || this->closed || piece.empty())
         return;
+    if (this->framing == body_framing::none)
+        return;
     if (this->framing == body_framing::chunks)
         append_chunk(this->unsent, piece);
     else
--- a/source/http/message_text.hpp
+++ b/source/http/message_text.hpp
@@ -37,7 +37,9 @@
     length,
     chunks,
     /// The body ends with the connection; for HTTP/1.0, which has no chunks.
-    connection_end
+    connection_end,
+    /// There is no body, whatever the headers say.
+    none
 };
 
 /// @brief The parts of a response's head that don't come from its handler.
--- a/tests/core/http10_test.cpp
+++ b/tests/core/http10_test.cpp
@@ -217,3 +217,32 @@
     CHECK(got.text == "HTTP/1.1 100 Continue\r\n\r\n");
     CHECK(this->ask("ok").text.starts_with("HTTP/1.1 200"));
 }
+
+TEST_CASE_METHOD(raw_callers,
+                 "HEAD request, has no body, and the next response "
+                 "of its connection is in its place")
+{
+    auto streams = GENERATE(false, true);
+    INFO("streams: " << streams);
+    if (streams)
+        this->handle = stream;
+    auto got = this->ask("HEAD /x HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(got.text.starts_with("HTTP/1.1 200"));
+    CHECK(got.body().empty());
+    CHECK(got.end == boost::asio::error::would_block);
+    auto next = this->ask("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(next.text.starts_with("HTTP/1.1 200"));
+    CHECK_FALSE(next.body().empty());
+}
+
+TEST_CASE_METHOD(
+    raw_callers,
+    "HEAD request, response without a body of its own, doesn't say "
+    "that the resource is empty")
+{
+    this->handle = [](const exchange_ptr& exchange)
+    { exchange->respond(200, {}, ""); };
+    auto got = this->ask("HEAD /x HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK_FALSE(got.has("Content-Length"));
+    CHECK(got.body().empty());
+}
