http: Send neither body nor framing with 204 and 304

Responses with status 204 or 304 were sent with a length or in chunks, and with a body where the handler gave one. Such responses end with their head (RFC 9112, 6.3): a caller that keeps its connection takes what follows, also the end mark of the chunks, for its next response.

Evidence: four of four rows of "status without a body, has neither body nor framing" failed before.

--- a/source/http/async_server.cpp
+++ b/source/http/async_server.cpp
@@ -316,7 +316,8 @@
         return;
     // The length of a response to HEAD is that of the body which GET would
     // have; the handler of a response without one may not know it.
-    bool has_length = !this->head_request || !body.empty();
+    bool has_length =
+        !is_bodiless(status) && !(this->head_request && body.empty());
     this->framing = has_length ? body_framing::length : body_framing::none;
     this->unsent += this->head(status, headers, body.size());
     if (has_length && !this->head_request)
@@ -331,7 +332,7 @@
     this->response_begun = true;
     this->framing =
         this->old_version ? body_framing::connection_end : body_framing::chunks;
-    if (this->head_request)
+    if (this->head_request || is_bodiless(status))
         this->framing = body_framing::none;
     if (this->framing == body_framing::connection_end)
     {
--- a/source/http/message_text.cpp
+++ b/source/http/message_text.cpp
@@ -95,6 +95,15 @@
                         });
 }
 
+bool is_bodiless(int status)
+{
+    constexpr int first_final = 200;
+    constexpr int no_content = 204;
+    constexpr int not_modified = 304;
+    return status < first_final || status == no_content ||
+           status == not_modified;
+}
+
 std::string head_text(int status, const header_list& headers,
                       const response_form& form)
 {
--- a/source/http/message_text.hpp
+++ b/source/http/message_text.hpp
@@ -42,6 +42,9 @@
     none
 };
 
+/// @brief True for status codes whose responses never have a body.
+bool is_bodiless(int status);
+
 /// @brief The parts of a response's head that don't come from its handler.
 struct response_form
 {
--- a/tests/core/http10_test.cpp
+++ b/tests/core/http10_test.cpp
@@ -246,3 +246,28 @@
     CHECK_FALSE(got.has("Content-Length"));
     CHECK(got.body().empty());
 }
+
+TEST_CASE_METHOD(raw_callers,
+                 "status without a body, has neither body nor framing")
+{
+    auto status = GENERATE(204, 304);
+    auto streams = GENERATE(false, true);
+    INFO(status << " streams: " << streams);
+    this->handle = [&](const exchange_ptr& exchange)
+    {
+        if (!streams)
+            return exchange->respond(status, {}, "surplus");
+        exchange->begin(status, {});
+        exchange->write("surplus");
+        exchange->finish();
+    };
+    for (int at = 0; at < 2; at++)
+    {
+        auto got = this->ask("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+        CHECK(got.text.starts_with("HTTP/1.1 " + std::to_string(status)));
+        CHECK_FALSE(got.has("Content-Length"));
+        CHECK_FALSE(got.has("Transfer-Encoding"));
+        CHECK(got.body().empty());
+        CHECK(got.end == boost::asio::error::would_block);
+    }
+}
