http: Don't take a response without an id for a later call's

A faulty endpoint wrote an earlier refusal once more on a kept connection, without the request's id. Where the copy arrived just after the next request was written, the caller got "not run, try again" (503) for a request that ran (REFUSED), and with a second endpoint the request ran there, too (TWICE). In the same way an item was given up after a copy of another item's 422.

Cause: the listeners dropped responses with another's id, but took each response that echoes none for their own.

The client now decides whose response it is. It is told which header the peer echoes. A response that echoes the call's value is its own, one with another value is skipped, and one without any is the call's only as the first response on a new connection, which isn't kept then. Any other one proves nothing: the call ends as broken, that is, the request may have run. A request without an id always gets a connection of its own.

Failed before (with only the new field present): "refusal repeated without an id, ..." got 503 for 502 and two runs for one; "error repeated without an id, ..." listed an item as dead_lettered; all core tests of responses without an id, of which those of skipped ids show that the client does now what the listeners did.

Ruled out: skipping such a response and waiting for the next one. Where it is the call's own no other one comes, and the call would last until its deadline.

Calls to the store and between hosts echo nothing and are as before.

--- a/source/batches/item_run.cpp
+++ b/source/batches/item_run.cpp
@@ -53,6 +53,7 @@
         request.headers.add("Last-Event-Id", previous.last_id);
     request.body = std::make_shared<const std::string>(this->content.body);
     request.body_limit = this->scheduler.runtime.settings().response_bytes;
+    request.echoed_header = names.request_id;
     auto now = host::boot_now();
     this->started = now;
     this->last_event = now;
@@ -70,9 +71,6 @@
     const auto& names = this->scheduler.names;
     forward::record_leaving_answer(this->scheduler.runtime, names, headers,
                                    this->content.id, this->run);
-    auto echoed = headers.get(names.request_id);
-    if (!echoed.empty() && echoed != this->content.id)
-        return false;
     this->scheduler.runtime.endpoints().progress(this->run, host::boot_now());
     this->status = status_code;
     this->framed = http::is_framed(headers);
--- a/source/forward/online_request.cpp
+++ b/source/forward/online_request.cpp
@@ -186,6 +186,7 @@
         forwarded.headers.add("Last-Event-Id", this->events.last_id());
     forwarded.body = this->body;
     forwarded.body_limit = this->runtime.settings().response_bytes;
+    forwarded.echoed_header = this->names.request_id;
     return forwarded;
 }
 
@@ -221,9 +222,6 @@
 {
     record_leaving_answer(this->runtime, this->names, response_headers,
                           this->request_id, this->run);
-    auto echoed_id = response_headers.get(this->names.request_id);
-    if (!echoed_id.empty() && echoed_id != this->request_id)
-        return false;
     this->runtime.endpoints().progress(this->run, host::boot_now());
     this->status = status_code;
     this->headers = response_headers;
--- a/source/http/async_client.cpp
+++ b/source/http/async_client.cpp
@@ -45,6 +45,13 @@
 constexpr std::size_t skipped_response_limit = 16;
 constexpr int first_final_status = 200;
 
+enum class response_owner : std::uint8_t
+{
+    this_call,
+    another_call,
+    unknown
+};
+
 } // namespace
 
 struct async_client::state
@@ -94,6 +101,9 @@
     void store_idle();
     void watch_idle();
     void new_parser();
+    void on_parsed_head();
+    response_owner owner_of(const header_list& headers) const;
+    bool echoes() const;
     header_list parsed_headers() const;
 
     std::shared_ptr<state> owner;
@@ -106,11 +116,15 @@
     std::shared_ptr<const std::string> body;
     std::string head;
     std::string method;
+    std::string echoed_header;
+    std::string echoed_value;
     steady::time_point usable_until = steady::time_point::max();
     std::uint64_t call_number = 0;
     std::size_t body_limit = 0;
     std::size_t body_bytes = 0;
     std::size_t skipped = 0;
+    /// True until a final response has arrived on the connection.
+    bool first_response = true;
     bool connecting = false;
     bool head_delivered = false;
     bool skipping = false;
@@ -173,6 +187,8 @@
     this->listener = std::move(new_listener);
     this->body = outgoing.body;
     this->method = outgoing.method;
+    this->echoed_header = outgoing.echoed_header;
+    this->echoed_value = outgoing.headers.get(outgoing.echoed_header);
     this->head =
         request_text(outgoing.method, outgoing.target, outgoing.headers,
                      outgoing.body ? outgoing.body->size() : 0);
@@ -323,15 +339,7 @@
     this->buffer.consume(consumed);
     if (this->reading->is_header_done() && !this->head_delivered)
     {
-        this->head_delivered = true;
-        int status = static_cast<int>(this->reading->get().result_int());
-        // The listener may cancel the call, which drops this reference to it.
-        auto receiver = this->listener;
-        this->skipping = status < first_final_status ||
-                         !receiver->on_head(status, this->parsed_headers());
-        this->skipped += this->skipping ? 1 : 0;
-        if (this->skipping)
-            this->owner->counts.skipped_responses++;
+        this->on_parsed_head();
         if (this->closed || !this->listener)
             return false;
     }
@@ -347,6 +355,52 @@
     return consumed > 0 || this->reading->is_done();
 }
 
+void async_client::connection::on_parsed_head()
+{
+    this->head_delivered = true;
+    int status = static_cast<int>(this->reading->get().result_int());
+    bool interim = status < first_final_status;
+    auto headers = this->parsed_headers();
+    auto response_of =
+        interim ? response_owner::another_call : this->owner_of(headers);
+    if (response_of == response_owner::unknown)
+    {
+        this->owner->counts.unidentified_responses++;
+        return this->end(call_end::broken,
+                         "response without " + this->echoed_header);
+    }
+    // The listener may cancel the call, which drops this reference to it.
+    auto receiver = this->listener;
+    this->skipping = response_of == response_owner::another_call ||
+                     !receiver->on_head(status, headers);
+    this->first_response = this->first_response && interim;
+    if (!this->skipping)
+        return;
+    this->skipped++;
+    this->owner->counts.skipped_responses++;
+}
+
+response_owner
+async_client::connection::owner_of(const header_list& headers) const
+{
+    if (this->echoed_header.empty())
+        return response_owner::this_call;
+    auto echoed = headers.get(this->echoed_header);
+    if (echoed.empty())
+        return this->first_response ? response_owner::this_call
+                                    : response_owner::unknown;
+    return echoed == this->echoed_value ? response_owner::this_call
+                                        : response_owner::another_call;
+}
+
+// A response without the echoed header could come once more as the next
+// call's.
+bool async_client::connection::echoes() const
+{
+    return this->echoed_header.empty() ||
+           !this->parsed_headers().get(this->echoed_header).empty();
+}
+
 void async_client::connection::deliver_body()
 {
     if (!this->head_delivered)
@@ -396,7 +450,7 @@
     if (surplus)
         this->owner->counts.surplus_bytes += this->buffer.size();
     bool reusable = result == call_end::complete && this->written && !surplus &&
-                    this->reading->keep_alive() &&
+                    this->reading->keep_alive() && this->echoes() &&
                     this->usable_until != steady::time_point::min();
     if (reusable)
         this->store_idle();
@@ -467,7 +521,12 @@
                     std::shared_ptr<call_listener> listener)
 {
     std::shared_ptr<connection> selected;
-    auto found = this->held->idle_connections.find(key);
+    // The response to a request without the echoed header can't be told from
+    // others.
+    bool identified = outgoing.echoed_header.empty() ||
+                      !outgoing.headers.get(outgoing.echoed_header).empty();
+    auto found = identified ? this->held->idle_connections.find(key)
+                            : this->held->idle_connections.end();
     while (!selected && found != this->held->idle_connections.end())
     {
         auto last = found->second.back();
--- a/source/http/async_client.hpp
+++ b/source/http/async_client.hpp
@@ -30,6 +30,9 @@
     std::chrono::milliseconds connect_limit{300};
     /// A response with a longer body ends the call with broken.
     std::size_t body_limit = default_body_limit;
+    /// Name of the request header that the peer echoes in its response to this
+    /// request and to no other; empty if the peer echoes none.
+    std::string echoed_header;
 };
 
 /// @brief How a call ended.
@@ -53,6 +56,8 @@
 
     /// @brief Receives the status and headers of a response.
     ///
+    /// Not called for responses that echo another request's header.
+    ///
     /// Returns false if the response belongs to another request. The client
     /// then discards that response and waits for the next one on the same
     /// connection.
@@ -78,6 +83,9 @@
     std::uint64_t reused = 0;
     std::uint64_t surplus_bytes = 0;
     std::uint64_t skipped_responses = 0;
+    /// Responses that ended their call because they echoed no header and could
+    /// have belonged to an earlier call on the connection.
+    std::uint64_t unidentified_responses = 0;
 };
 
 /// @brief An HTTP/1.1 client that reuses connections and never retries a call.
@@ -85,6 +93,10 @@
 /// Idle connections are stored under a key that identifies the instance of the
 /// peer and not only its address, so that a new process at a reused address
 /// never gets a connection to the previous one.
+///
+/// A peer may repeat an earlier response on a reused connection. Where the peer
+/// echoes a header, a response is a call's own only if it echoes the value that
+/// the call sent, or if it echoes none and is the first one on its connection.
 class async_client
 {
 public:
--- a/tests/standins/standin_platform_worker.cpp
+++ b/tests/standins/standin_platform_worker.cpp
@@ -201,15 +201,11 @@
         std::string id(asked.headers.get("Request-Id"));
         auto target = asked.headers.get("Target-Instance");
         if (!target.empty() && target != this->state.id)
-            return standins::json_response(421, {{"error", "another"}});
+            return refusal(421, "another", id);
         bool starting =
             std::chrono::steady_clock::now() < this->state.starting_until;
         if (this->state.full || starting)
-        {
-            auto answer = standins::json_response(503, {{"error", "full"}});
-            answer.headers.add("Not-Executed", "1");
-            return answer;
-        }
+            return refusal(503, "full", id);
         auto answer = this->run(asked, id);
         bool deadly = this->contains_deadly(asked.headers.get("Prompt-Prefix"));
         deadly = deadly || (!this->state.deadly_body.empty() &&
@@ -227,6 +223,16 @@
         return answer;
     }
 
+    static http::response refusal(int status, const std::string& reason,
+                                  const std::string& id)
+    {
+        auto answer = standins::json_response(status, {{"error", reason}});
+        answer.headers.add("Request-Id", id);
+        if (status == 503)
+            answer.headers.add("Not-Executed", "1");
+        return answer;
+    }
+
     bool contains_deadly(std::string_view prompt) const
     {
         auto comma = prompt.rfind(',');
