http: Don't send a request again on a connection that carried it

A faulty endpoint wrote an earlier response once more on a kept connection. Where the same request had been sent there again, the copy had the right id: a copied 500 counted as one more failed attempt of an item, which was given up (dead_lettered) while it ran; a copied refusal freed an item that ran, so that it ran once more.

Cause: an id names a request and not one sending of it. Items keep theirs over all runs, and a resumable stream may come back to an endpoint.

A connection now remembers the values of the echoed header that it has carried, as hashes, and isn't used for a request whose value it knows; another idle connection or a new one is. Equal hashes only cost a new connection. A connection is replaced after 256 such calls, which bounds what it remembers to 2 KB.

Failed before: "late response, of the same id, ..." (503, 500, 422: the copy was taken), "request sent again, ..." (both), "kept connection, many calls, ...", and on the platform's programs "error repeated with the item's id, ..." (dead_lettered for done) and "refusal repeated with the item's id, ..." (three arrivals for two).

The tests' peer served one connection after the other and waited for a second request on the first one; it serves them side by side now.

--- a/source/http/async_client.cpp
+++ b/source/http/async_client.cpp
@@ -1,5 +1,6 @@
 #include "http/async_client.hpp"
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <charconv>
@@ -44,6 +45,8 @@
 constexpr std::size_t head_limit_bytes = 64u << 10;
 constexpr std::size_t skipped_response_limit = 16;
 constexpr int first_final_status = 200;
+// Bounds the values that a connection remembers.
+constexpr std::size_t identified_call_limit = 256;
 
 enum class response_owner : std::uint8_t
 {
@@ -58,6 +61,9 @@
 {
     explicit state(asio::io_context& loop) : loop(loop) {}
 
+    std::shared_ptr<connection> find_idle(std::string_view key,
+                                          const client_request& outgoing) const;
+
     asio::io_context& loop;
     std::map<std::string, std::vector<std::shared_ptr<connection>>, std::less<>>
         idle_connections;
@@ -79,6 +85,8 @@
               std::shared_ptr<call_listener> listener);
     void close();
     bool usable();
+    bool can_identify(const client_request& outgoing) const;
+    void leave_idle();
     std::uint64_t current_call_number() const { return this->call_number; }
     bool runs_call(std::uint64_t number) const
     {
@@ -118,6 +126,8 @@
     std::string method;
     std::string echoed_header;
     std::string echoed_value;
+    /// Hashes of the echoed values of all calls on the connection.
+    std::vector<std::size_t> carried_values;
     steady::time_point usable_until = steady::time_point::max();
     std::uint64_t call_number = 0;
     std::size_t body_limit = 0;
@@ -151,6 +161,11 @@
     std::function<void()> stop;
 };
 
+std::size_t hash_value(std::string_view value)
+{
+    return std::hash<std::string_view>()(value);
+}
+
 std::chrono::milliseconds keep_alive_time(const header_list& headers)
 {
     constexpr std::string_view name = "timeout=";
@@ -181,6 +196,19 @@
     return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+// A second copy of an earlier response with the same value, or a response
+// without one, couldn't be told from the response to this request.
+bool async_client::connection::can_identify(
+    const client_request& outgoing) const
+{
+    if (outgoing.echoed_header.empty())
+        return true;
+    auto value = outgoing.headers.get(outgoing.echoed_header);
+    return !value.empty() &&
+           std::ranges::find(this->carried_values, hash_value(value)) ==
+               this->carried_values.end();
+}
+
 void async_client::connection::prepare(
     const client_request& outgoing, std::shared_ptr<call_listener> new_listener)
 {
@@ -189,6 +217,8 @@
     this->method = outgoing.method;
     this->echoed_header = outgoing.echoed_header;
     this->echoed_value = outgoing.headers.get(outgoing.echoed_header);
+    if (!this->echoed_value.empty())
+        this->carried_values.push_back(hash_value(this->echoed_value));
     this->head =
         request_text(outgoing.method, outgoing.target, outgoing.headers,
                      outgoing.body ? outgoing.body->size() : 0);
@@ -451,6 +481,7 @@
         this->owner->counts.surplus_bytes += this->buffer.size();
     bool reusable = result == call_end::complete && this->written && !surplus &&
                     this->reading->keep_alive() && this->echoes() &&
+                    this->carried_values.size() < identified_call_limit &&
                     this->usable_until != steady::time_point::min();
     if (reusable)
         this->store_idle();
@@ -495,6 +526,11 @@
     this->timer.cancel();
     error_code ignored;
     this->socket.close(ignored);
+    this->leave_idle();
+}
+
+void async_client::connection::leave_idle()
+{
     auto found = this->owner->idle_connections.find(this->key);
     if (found == this->owner->idle_connections.end())
         return;
@@ -503,6 +539,20 @@
         this->owner->idle_connections.erase(found);
 }
 
+std::shared_ptr<async_client::connection>
+async_client::state::find_idle(std::string_view key,
+                               const client_request& outgoing) const
+{
+    auto found = this->idle_connections.find(key);
+    if (found == this->idle_connections.end())
+        return nullptr;
+    auto can_identify = [&outgoing](const auto& candidate)
+    { return candidate->can_identify(outgoing); };
+    const auto& idle = found->second;
+    auto newest = std::find_if(idle.rbegin(), idle.rend(), can_identify);
+    return newest == idle.rend() ? nullptr : *newest;
+}
+
 async_client::async_client(asio::io_context& loop)
     : held(std::make_shared<state>(loop))
 {
@@ -521,27 +571,15 @@
                     std::shared_ptr<call_listener> listener)
 {
     std::shared_ptr<connection> selected;
-    // The response to a request without the echoed header can't be told from
-    // others.
-    bool identified = outgoing.echoed_header.empty() ||
-                      !outgoing.headers.get(outgoing.echoed_header).empty();
-    auto found = identified ? this->held->idle_connections.find(key)
-                            : this->held->idle_connections.end();
-    while (!selected && found != this->held->idle_connections.end())
+    while (auto idle = this->held->find_idle(key, outgoing))
     {
-        auto last = found->second.back();
-        found->second.pop_back();
-        if (found->second.empty())
+        idle->leave_idle();
+        if (idle->usable())
         {
-            this->held->idle_connections.erase(found);
-            found = this->held->idle_connections.end();
+            selected = idle;
+            break;
         }
-        if (last->usable())
-            selected = last;
-        else
-            last->close();
-        if (!selected)
-            found = this->held->idle_connections.find(key);
+        idle->close();
     }
     if (selected)
         selected->send(outgoing, std::move(listener));
--- a/tests/core/late_responses_test.cpp
+++ b/tests/core/late_responses_test.cpp
@@ -1,10 +1,13 @@
 #include <catch2/catch.hpp>
 
 #include <atomic>
+#include <list>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include <sys/socket.h>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
@@ -23,8 +26,8 @@
 /// @brief What a peer writes for one request, piece by piece.
 using pieces = std::vector<std::string>;
 
-/// @brief A peer that accepts one connection after the other and writes, for
-/// each request on it, the next scripted pieces.
+/// @brief A peer that writes, for each request on its connections, the next
+/// scripted pieces.
 class late_peer
 {
 public:
@@ -41,7 +44,6 @@
         boost::system::error_code ignored;
         tcp::socket last(own);
         last.connect(this->acceptor.local_endpoint(), ignored);
-        last.close(ignored);
         this->thread.join();
     }
 
@@ -54,25 +56,44 @@
 private:
     void run(const std::vector<std::vector<pieces>>& connections)
     {
-        std::vector<tcp::socket> open;
+        std::list<tcp::socket> open;
+        std::vector<std::thread> servers;
         for (const auto& exchanges : connections)
         {
-            if (this->stopped)
-                return;
             auto& socket = open.emplace_back(this->loop);
             boost::system::error_code error;
             this->acceptor.accept(socket, error);
-            for (const auto& written : exchanges)
+            if (this->stopped)
+                break;
+            servers.emplace_back([&socket, &exchanges]
+                                 { serve(socket, exchanges); });
+        }
+        while (!this->stopped)
+            std::this_thread::sleep_for(1ms);
+        // Closing a socket doesn't end a blocking read on it.
+        for (auto& socket : open)
+            shutdown(socket.native_handle(), SHUT_RDWR);
+        for (auto& server : servers)
+            server.join();
+    }
+
+    static void serve(tcp::socket& socket, const std::vector<pieces>& exchanges)
+    {
+        boost::system::error_code error;
+        boost::asio::streambuf received;
+        for (const auto& written : exchanges)
+        {
+            auto head_bytes =
+                boost::asio::read_until(socket, received, "\r\n\r\n", error);
+            if (error)
+                return;
+            received.consume(head_bytes);
+            for (std::size_t at = 0; at < written.size(); at++)
             {
-                boost::asio::streambuf head;
-                boost::asio::read_until(socket, head, "\r\n\r\n", error);
-                for (std::size_t at = 0; at < written.size(); at++)
-                {
-                    if (at > 0)
-                        std::this_thread::sleep_for(10ms);
-                    boost::asio::write(socket, boost::asio::buffer(written[at]),
-                                       error);
-                }
+                if (at > 0)
+                    std::this_thread::sleep_for(10ms);
+                boost::asio::write(socket, boost::asio::buffer(written[at]),
+                                   error);
             }
         }
     }
@@ -253,3 +274,71 @@
     CHECK(listener->result == http::call_end::complete);
     CHECK(this->client.counts().connected == 2);
 }
+
+// A request is sent again to the same peer after a refusal, an item after an
+// error; a late copy of the earlier response then has the right id.
+TEST_CASE_METHOD(identified_calls,
+                 "late response, of the same id, isn't taken for the request "
+                 "sent again")
+{
+    for (const std::string status : {"503", "500", "422"})
+    {
+        DYNAMIC_SECTION(status)
+        {
+            auto copy = response(status, "first", "no");
+            auto own = response("200", "first", "own");
+            late_peer peer({{{copy}, {copy, own}}, {{own}}});
+            CHECK(this->call(peer.address(), "first")->body == "no");
+            auto listener = this->call(peer.address(), "first");
+            CHECK(listener->status == 200);
+            CHECK(listener->body == "own");
+            CHECK(this->client.counts().connected == 2);
+        }
+    }
+}
+
+TEST_CASE_METHOD(identified_calls,
+                 "request sent again, beside a connection that carried "
+                 "others, reuses that one")
+{
+    late_peer peer(
+        {{{response("200", "first", "1")}},
+         {{response("200", "first", "2")}, {response("200", "second", "3")}}});
+    CHECK(this->call(peer.address(), "first")->body == "1");
+    CHECK(this->call(peer.address(), "first")->body == "2");
+    CHECK(this->call(peer.address(), "second")->body == "3");
+    CHECK(this->client.counts().connected == 2);
+    CHECK(this->client.counts().reused == 1);
+}
+
+TEST_CASE_METHOD(identified_calls,
+                 "request sent again, two connections are idle, reuses the "
+                 "one that hasn't carried it")
+{
+    late_peer peer(
+        {{{response("200", "first", "1")}, {response("200", "second", "4")}},
+         {{response("200", "first", "2")}, {response("200", "second", "3")}}});
+    CHECK(this->call(peer.address(), "first")->body == "1");
+    CHECK(this->call(peer.address(), "first")->body == "2");
+    CHECK(this->call(peer.address(), "second")->body == "3");
+    // Neither the newest connection nor a new one.
+    CHECK(this->call(peer.address(), "second")->body == "4");
+    CHECK(this->client.counts().connected == 2);
+    CHECK(this->client.counts().reused == 2);
+}
+
+// The values that a connection remembers are bounded.
+TEST_CASE_METHOD(identified_calls,
+                 "kept connection, many calls, is replaced in time")
+{
+    constexpr int bound = 256;
+    std::vector<pieces> first;
+    for (int at = 0; at < bound; at++)
+        first.push_back({response("200", std::to_string(at), "ok")});
+    late_peer peer({first, {{response("200", "last", "ok")}}});
+    for (int at = 0; at < bound; at++)
+        CHECK(this->call(peer.address(), std::to_string(at))->body == "ok");
+    CHECK(this->client.counts().connected == 1);
+    CHECK(this->call(peer.address(), "last")->body == "ok");
+    CHECK(this->client.counts().connected == 2);
+}
--- a/tests/platform/late_response_test.cpp
+++ b/tests/platform/late_response_test.cpp
@@ -157,3 +157,37 @@
     CHECK(this->states("j1", 3) ==
           std::vector<std::string>{"done", "done", "done"});
 }
+
+// The route allows two attempts.
+TEST_CASE_METHOD(late_responses,
+                 "error repeated with the item's id, item that runs again, is "
+                 "not given up")
+{
+    this->start(3, 1, 1,
+                [](const arrival& arrived)
+                {
+                    auto error = response("500", arrived.id, "", "no");
+                    if (arrived.earlier_of_id == 0)
+                        return error;
+                    bool late = arrived.earlier_on_connection > 0;
+                    return (late ? error : "") + answer(arrived.id);
+                });
+    CHECK(this->states("j1", 1) == std::vector<std::string>{"done"});
+}
+
+TEST_CASE_METHOD(late_responses,
+                 "refusal repeated with the item's id, item that runs, isn't "
+                 "run once more")
+{
+    this->start(3, 1, 1,
+                [](const arrival& arrived)
+                {
+                    if (arrived.earlier_of_id == 0)
+                        return refusal(arrived.id);
+                    bool late = arrived.earlier_on_connection > 0;
+                    return (late ? refusal(arrived.id) : "") +
+                           answer(arrived.id);
+                });
+    CHECK(this->states("j1", 1) == std::vector<std::string>{"done"});
+    CHECK(this->arrivals("j1-0") == 2);
+}
