packing: Build JSON documents in linear time

The library's parser with a callback goes over all values of an array at the end of each object in it. A body with 65,536 objects, or a configuration with thousands of routes, took time quadratic in their number: the sanitized test of job bodies didn't end within 150 s.

The limits are now checked by a builder that extends the library's own, which has no such pass. The sanitized run is still to be done.

--- a/source/packing/json_fields.cpp
+++ b/source/packing/json_fields.cpp
@@ -56,27 +56,99 @@
             std::trunc(value.get<double>()) == value.get<double>());
 }
 
+// The library's parser with a callback takes time that is quadratic in the
+// number of objects of an array.
+class limited_builder : public nlohmann::detail::json_sax_dom_parser<json>
+{
+    using base = nlohmann::detail::json_sax_dom_parser<json>;
+
+public:
+    limited_builder(json& into, const json_limits& limits)
+        : base(into), limits(limits)
+    {
+    }
+
+    bool start_object(std::size_t size)
+    {
+        this->enter();
+        return this->base::start_object(size);
+    }
+    bool end_object()
+    {
+        this->depth--;
+        return this->base::end_object();
+    }
+    bool start_array(std::size_t size)
+    {
+        this->enter();
+        return this->base::start_array(size);
+    }
+    bool end_array()
+    {
+        this->depth--;
+        return this->base::end_array();
+    }
+    bool null()
+    {
+        this->count();
+        return this->base::null();
+    }
+    bool boolean(bool value)
+    {
+        this->count();
+        return this->base::boolean(value);
+    }
+    bool number_integer(json::number_integer_t value)
+    {
+        this->count();
+        return this->base::number_integer(value);
+    }
+    bool number_unsigned(json::number_unsigned_t value)
+    {
+        this->count();
+        return this->base::number_unsigned(value);
+    }
+    bool number_float(json::number_float_t value, const std::string& text)
+    {
+        this->count();
+        return this->base::number_float(value, text);
+    }
+    bool string(std::string& value)
+    {
+        this->count();
+        return this->base::string(value);
+    }
+
+private:
+    void enter()
+    {
+        this->count();
+        if (++this->depth > this->limits.depth)
+            throw over_limit("levels", this->limits.depth);
+    }
+    void count()
+    {
+        if (++this->values > this->limits.values)
+            throw over_limit("values", this->limits.values);
+    }
+
+    const json_limits& limits;
+    std::size_t depth = 0;
+    std::size_t values = 0;
+};
+
 } // namespace
 
 json parse_json(std::string_view text, const json_limits& limits)
 {
     if (text.size() > limits.bytes)
         throw over_limit("bytes", limits.bytes);
-    std::size_t values = 0;
-    auto check = [&](int depth, json::parse_event_t event, json&)
-    {
-        bool opens = event == json::parse_event_t::array_start ||
-                     event == json::parse_event_t::object_start;
-        if (opens && static_cast<std::size_t>(depth) >= limits.depth)
-            throw over_limit("levels", limits.depth);
-        bool counted = opens || event == json::parse_event_t::value;
-        if (counted && ++values > limits.values)
-            throw over_limit("values", limits.values);
-        return true;
-    };
     try
     {
-        return json::parse(text, check);
+        json document;
+        limited_builder builder(document, limits);
+        json::sax_parse(text, &builder);
+        return document;
     }
     catch (const json::parse_error& error)
     {
