tests: Show that deadly requests crash several endpoints within 20 ms

Failing: a deadly request that is retried at once on the next endpoint counts as one crash, as record_close takes all closes of one host within 20 ms for one.

Smallest fix: merge only if the run was sent before the last close.

--- a/tests/core/quarantine_test.cpp
+++ b/tests/core/quarantine_test.cpp
@@ -2,9 +2,12 @@
 
 #include <random>
 #include <set>
+#include <thread>
 
 #include "core/quarantine/part_quarantine.hpp"
 #include "core/quarantine/request_identity.hpp"
+#include "host/boot_clock.hpp"
+#include "host/shared_quarantine.hpp"
 
 using namespace amaranthhatch;
 using core::instant;
@@ -71,6 +74,36 @@
     std::uint64_t endpoints = 0;
 };
 
+/// @brief The quarantine of one host.
+struct host_quarantine
+{
+    host::prompt_run run_on(int endpoint, const std::string& id,
+                            std::vector<part_id> parts) const
+    {
+        host::prompt_run run;
+        run.request = id;
+        run.endpoint = "worker-" + std::to_string(endpoint);
+        run.endpoint_started_ms = 1000;
+        run.service = "pool";
+        run.parts = std::move(parts);
+        run.sent_at = host::boot_now();
+        return run;
+    }
+
+    std::size_t reported() const
+    {
+        core::peers::beacon sent;
+        this->quarantine.add_to(sent);
+        std::set<std::uint64_t> endpoints;
+        for (const auto& each : sent.crashes)
+            endpoints.insert(each.endpoint);
+        return endpoints.size();
+    }
+
+    metrics::recorder metrics;
+    host::shared_quarantine quarantine{metrics};
+};
+
 } // namespace
 
 TEST_CASE_METHOD(
@@ -560,6 +593,20 @@
     CHECK_FALSE(this->blocked({request_number(1)}));
 }
 
+TEST_CASE_METHOD(host_quarantine,
+                 "deadly request, crashes one endpoint after the other at "
+                 "once, is reported for each of them")
+{
+    for (int at = 0; at < 3; at++)
+    {
+        // Each is sent after the one before it was closed.
+        auto run = this->run_on(at, "a", {deadly_request});
+        this->quarantine.record_close(run, 0);
+        std::this_thread::sleep_for(5ms);
+    }
+    CHECK(this->reported() == 3);
+}
+
 TEST_CASE("deadly part, crashes spread over many hosts with lost beacons, is "
           "blocked on all of them")
 {
--- a/tests/platform/quarantine_test.cpp
+++ b/tests/platform/quarantine_test.cpp
@@ -301,6 +301,15 @@
                                                    {"priority", 0},
                                                    {"service", "pool"},
                                                    {"max_attempts", 2}});
+                configuration["routes"].push_back({{"name", "often"},
+                                                   {"host", "app.example"},
+                                                   {"prefix", "/often/"},
+                                                   {"kind", "idempotent"},
+                                                   {"timeout_ms", 4000},
+                                                   {"target_latency_ms", 1000},
+                                                   {"priority", 0},
+                                                   {"service", "pool"},
+                                                   {"max_attempts", 3}});
             });
         for (std::size_t at = 0; at < this->fleet.entries.size(); at++)
             REQUIRE(fleet::eventually(
@@ -628,3 +637,28 @@
     int before = this->total("deadly_runs");
     this->check_refused(this->send_in_turn(12, kind, deadly_body), before);
 }
+
+TEST_CASE_METHOD(quarantine_of_requests,
+                 "deadly request, crashes a worker within milliseconds and is "
+                 "retried on others, then comes at all hosts at once, reaches "
+                 "no worker after three crashes")
+{
+    auto prefill = GENERATE(5, 30);
+    INFO("prefill " << prefill << " ms");
+    this->switch_workers({{"prefill_ms", prefill}});
+    request_kind kind{"/often/x"};
+    REQUIRE(fleet::eventually(
+        [&] { return this->send(0, kind, "b").status == 200; }, 10s));
+    background sound(this->fleet, "/again/x");
+    this->crash_three(kind);
+    std::this_thread::sleep_for(contact);
+    int before = this->total("deadly_runs");
+    std::vector<outcome> seen;
+    for (int round = 0; round < 4; round++)
+    {
+        for (const auto& each : this->send_at_once(kind))
+            seen.push_back(each);
+        std::this_thread::sleep_for(1s);
+    }
+    this->check_refused(seen, before);
+}
--- a/tests/standins/standin_platform_worker.cpp
+++ b/tests/standins/standin_platform_worker.cpp
@@ -52,6 +52,8 @@
     std::string deadly_body;
     /// Whether the crash comes behind the head of the answer.
     bool deadly_after_head = false;
+    /// Time from a deadly request's arrival to the crash.
+    int prefill_ms = 30;
     /// Whether the worker only closes its connections and goes on.
     bool deadly_resets = false;
     /// Until when it starts again after a crash and runs nothing.
@@ -132,10 +134,12 @@
 /// the end of the process does.
 void crash(worker_state& shared)
 {
-    constexpr std::chrono::milliseconds prefill{30};
     constexpr std::chrono::milliseconds restart{3000};
+    std::unique_lock lock(shared.guard);
+    std::chrono::milliseconds prefill(shared.prefill_ms);
+    lock.unlock();
     std::this_thread::sleep_for(prefill);
-    std::lock_guard lock(shared.guard);
+    lock.lock();
     shared.crashes++;
     if (!shared.deadly_resets)
         shared.starting_until = std::chrono::steady_clock::now() + restart;
@@ -335,6 +339,8 @@
                 change.value("deadly_body", this->state.deadly_body);
             this->state.deadly_after_head = change.value(
                 "deadly_after_head", this->state.deadly_after_head);
+            this->state.prefill_ms =
+                change.value("prefill_ms", this->state.prefill_ms);
             this->state.deadly_resets =
                 change.value("deadly_resets", this->state.deadly_resets);
         }
