tests: Show that one of two deadly requests under the same crashes runs on

Failing: rebuild() covers the second request by the first one's crashes, so it isn't suspected before it crashes a fourth endpoint, and then for 2.5 s and twelve answers.

Smallest fix: suspect all requests with the same crashes.

--- a/tests/core/quarantine_test.cpp
+++ b/tests/core/quarantine_test.cpp
@@ -607,6 +607,22 @@
     CHECK(this->reported() == 3);
 }
 
+TEST_CASE_METHOD(quarantine_table,
+                 "two deadly requests, run together at three crashes, are "
+                 "both blocked")
+{
+    for (int at = 0; at < 3; at++)
+    {
+        this->endpoints++;
+        this->crash(this->endpoints, {deadly_request});
+        this->crash(this->endpoints, {request_number(14)});
+    }
+    for (int second = 0; second < 4; second++)
+        this->answer_others({request_number(900)});
+    CHECK(this->blocked({deadly_request}));
+    CHECK(this->blocked({request_number(14)}));
+}
+
 TEST_CASE("deadly part, crashes spread over many hosts with lost beacons, is "
           "blocked on all of them")
 {
