tests: Show that a sound request is blocked in place of the deadly one

Failing for one of the two generated ids: under equal numbers of crashes the smaller id wins, which is arbitrary. The sound request stays refused for five minutes, as nothing else can clear it, if the deadly one doesn't come again.

--- a/tests/core/quarantine_test.cpp
+++ b/tests/core/quarantine_test.cpp
@@ -623,6 +623,22 @@
     CHECK(this->blocked({request_number(14)}));
 }
 
+TEST_CASE_METHOD(quarantine_table,
+                 "sound request, run beside the deadly one at all its crashes, "
+                 "isn't blocked")
+{
+    auto sound = GENERATE(request_number(1), request_number(100));
+    for (int at = 0; at < 3; at++)
+    {
+        this->endpoints++;
+        this->crash(this->endpoints, {deadly_request});
+        this->crash(this->endpoints, {sound});
+    }
+    for (int second = 0; second < 4; second++)
+        this->answer_others({request_number(900)});
+    CHECK_FALSE(this->blocked({sound}));
+}
+
 TEST_CASE("deadly part, crashes spread over many hosts with lost beacons, is "
           "blocked on all of them")
 {
