tests: Show that a deadly request runs on where few others are answered

Failing: one other answer in three seconds on a host, one deadly repeat in a second: 6 endpoints more where 3 are allowed.

Smallest fix: count the answers of all hosts, by a count in the beacons.

--- a/tests/core/quarantine_test.cpp
+++ b/tests/core/quarantine_test.cpp
@@ -639,6 +639,27 @@
     CHECK_FALSE(this->blocked({sound}));
 }
 
+TEST_CASE_METHOD(quarantine_table,
+                 "deadly request, few others are answered, reaches three "
+                 "endpoints more at most")
+{
+    int more = 0;
+    for (int second = 0; second < 40; second++)
+    {
+        this->now += 1s;
+        this->table.update(this->now);
+        if (second % 3 == 0)
+            this->table.record_answer(std::vector<part_id>{request_number(900)},
+                                      service, this->now);
+        if (this->blocked({deadly_request}))
+            continue;
+        this->crash(++this->endpoints, {deadly_request});
+        // The third crash is at the third second, contact ends at the seventh.
+        more += second >= 7 ? 1 : 0;
+    }
+    CHECK(more <= 3);
+}
+
 TEST_CASE("deadly part, crashes spread over many hosts with lost beacons, is "
           "blocked on all of them")
 {
