--- a/tests/core/quarantine_test.cpp
+++ b/tests/core/quarantine_test.cpp
@@ -660,6 +660,14 @@
     CHECK(more <= 3);
 }
 
+TEST_CASE("request, authority spelled in another way, has the same id")
+{
+    using core::quarantine::identify_request;
+    auto id = identify_request({"POST", "a.example", "/x", "", "b"});
+    CHECK(identify_request({"POST", "a.example:8101", "/x", "", "b"}) == id);
+    CHECK(identify_request({"POST", "A.Example", "/x", "", "b"}) == id);
+}
+
 TEST_CASE("deadly part, crashes spread over many hosts with lost beacons, is "
           "blocked on all of them")
 {
