tests: Show that long plain calls are taken for runs at their start

Failing: a plain call has no events, so one that ran for nine seconds when its endpoint closed is reported like one that had just begun. After three such crashes, its repeats are refused for five minutes.

Smallest fix: report a run without events only in its first seconds.

--- a/tests/core/quarantine_test.cpp
+++ b/tests/core/quarantine_test.cpp
@@ -668,6 +668,20 @@
     CHECK(identify_request({"POST", "A.Example", "/x", "", "b"}) == id);
 }
 
+TEST_CASE_METHOD(host_quarantine,
+                 "plain call, its endpoint closes seconds after it began, "
+                 "isn't reported")
+{
+    for (int at = 0; at < 3; at++)
+    {
+        auto run = this->run_on(at, "a", {request_number(1)});
+        run.sent_at -= 9s;
+        this->quarantine.record_close(run, 0);
+        std::this_thread::sleep_for(30ms);
+    }
+    CHECK(this->reported() == 0);
+}
+
 TEST_CASE("deadly part, crashes spread over many hosts with lost beacons, is "
           "blocked on all of them")
 {
