tests: Show that a deadly request runs again when its reports expire

Failing: a request that comes every five seconds for twenty minutes reaches 9 endpoints more where 3 are allowed.

--- a/tests/core/quarantine_test.cpp
+++ b/tests/core/quarantine_test.cpp
@@ -682,6 +682,22 @@
     CHECK(this->reported() == 0);
 }
 
+TEST_CASE_METHOD(quarantine_table,
+                 "deadly request, comes for twenty minutes, reaches three "
+                 "endpoints more at most")
+{
+    int more = 0;
+    for (int second = 0; second < 1200; second++)
+    {
+        this->answer_others({request_number(900)});
+        if (second % 5 != 0 || this->blocked({deadly_request}))
+            continue;
+        this->crash(++this->endpoints, {deadly_request});
+        more += second > 14 ? 1 : 0;
+    }
+    CHECK(more <= 3);
+}
+
 TEST_CASE("deadly part, crashes spread over many hosts with lost beacons, is "
           "blocked on all of them")
 {
