--- a/tests/core/quarantine_test.cpp
+++ b/tests/core/quarantine_test.cpp
@@ -698,6 +698,63 @@
     CHECK(more <= 3);
 }
 
+TEST_CASE("deadly request, its crashes end calls of many hosts, is blocked on "
+          "all of them")
+{
+    constexpr int hosts = 12;
+    constexpr int calls_of_host = 8;
+    for (unsigned seed = 1; seed <= 5; seed++)
+    {
+        INFO("seed " << seed);
+        std::mt19937 random(seed);
+        std::vector<part_quarantine> tables(hosts, part_quarantine({}));
+        std::uint64_t run = 0;
+        std::uint64_t others = 1000;
+        int more = 0;
+        for (instant now{0}; now < 14s; now += 20ms)
+        {
+            auto host = random() % hosts;
+            bool comes = now % 500ms == 0ms &&
+                         !tables[host].blocked_for(
+                             std::vector<part_id>{deadly_request}, now);
+            if (comes)
+            {
+                auto endpoint = ++run;
+                for (auto& each : tables)
+                    for (int call = 0; call < calls_of_host; call++)
+                        each.record_crash({++run,
+                                           endpoint,
+                                           service,
+                                           {request_number(++others)},
+                                           0,
+                                           0,
+                                           {}},
+                                          now);
+                tables[host].record_crash(
+                    {++run, endpoint, service, {deadly_request}, 0, 0, {}},
+                    now);
+                more += now > 5s ? 1 : 0;
+            }
+            for (auto& each : tables)
+                each.record_answer(
+                    std::vector<part_id>{request_number(random())}, service,
+                    now);
+            for (auto& from : tables)
+            {
+                from.update(now);
+                auto reports = from.reports_to_send(now);
+                for (auto& to : tables)
+                    if (&to != &from && random() % 4 == 0)
+                        for (const auto& report : reports)
+                            to.merge(report, now);
+            }
+        }
+        CHECK(more <= 3);
+        for (const auto& table : tables)
+            CHECK(table.blocked_for(std::vector<part_id>{deadly_request}, 14s));
+    }
+}
+
 TEST_CASE("deadly part, crashes spread over many hosts with lost beacons, is "
           "blocked on all of them")
 {
