tests: Show that a deadly part runs on after one request's crashes

Failing: three crashes of one request explain themselves, so the part that it shares with others isn't suspected. Of ten other requests with the part that come within half a second after contact time, ten crash endpoints; three are allowed.

Smallest fix: suspect the part as well while nothing has cleared it.

--- a/tests/core/quarantine_test.cpp
+++ b/tests/core/quarantine_test.cpp
@@ -755,6 +755,32 @@
     }
 }
 
+TEST_CASE_METHOD(quarantine_table,
+                 "deadly part, its first request comes three times and others "
+                 "after contact time, reaches three endpoints more at most")
+{
+    for (int at = 0; at < 3; at++)
+        this->crash(++this->endpoints,
+                    {request_number(1), first_part, subject, deadly});
+    for (int second = 0; second < 5; second++)
+        this->answer_others({request_number(900), first_part});
+    int more = 0;
+    for (std::uint64_t at = 0; at < 10; at++)
+    {
+        this->now += 50ms;
+        this->table.record_answer(std::vector<part_id>{request_number(900)},
+                                  service, this->now);
+        this->table.update(this->now);
+        std::vector<part_id> parts{request_number(100 + at), first_part,
+                                   subject, deadly};
+        if (this->blocked(parts))
+            continue;
+        this->crash(++this->endpoints, parts);
+        more++;
+    }
+    CHECK(more <= 3);
+}
+
 TEST_CASE("deadly part, crashes spread over many hosts with lost beacons, is "
           "blocked on all of them")
 {
