forward: Read answers of other requests for an endpoint that leaves

Change: the listener gets the headers of such answers by a call of their own; only this use needs them.

--- a/source/batches/item_run.cpp
+++ b/source/batches/item_run.cpp
@@ -84,6 +84,13 @@
     return true;
 }
 
+void item_run::on_other_head(const http::header_list& headers)
+{
+    forward::record_leaving_answer(this->scheduler.runtime,
+                                   this->scheduler.names, headers,
+                                   this->content.id, this->run);
+}
+
 void item_run::abandon_call(std::string_view reason)
 {
     this->call->cancel();
--- a/source/batches/item_run.hpp
+++ b/source/batches/item_run.hpp
@@ -43,6 +43,7 @@
     void interrupt_stalled();
 
     bool on_head(int status, const http::header_list& headers) override;
+    void on_other_head(const http::header_list& headers) override;
     void on_body(std::string_view piece) override;
     void on_end(http::call_end call_result, std::string_view detail) override;
 
--- a/source/forward/online_request.cpp
+++ b/source/forward/online_request.cpp
@@ -239,6 +239,13 @@
     return true;
 }
 
+// Any answer on the connection is one of this endpoint.
+void online_request::on_other_head(const http::header_list& other_headers)
+{
+    record_leaving_answer(this->runtime, this->names, other_headers,
+                          this->request_id, this->run);
+}
+
 void online_request::abandon_call(std::string_view reason)
 {
     this->call->cancel();
--- a/source/forward/online_request.hpp
+++ b/source/forward/online_request.hpp
@@ -36,6 +36,7 @@
 
     bool on_head(int status_code,
                  const http::header_list& response_headers) override;
+    void on_other_head(const http::header_list& headers) override;
     void on_body(std::string_view piece) override;
     void on_end(http::call_end end, std::string_view detail) override;
 
--- a/source/http/async_client.cpp
+++ b/source/http/async_client.cpp
@@ -393,16 +393,20 @@
     auto headers = this->parsed_headers();
     auto response_of =
         interim ? response_owner::another_call : this->owner_of(headers);
+    // The listener may cancel the call, which drops this reference to it.
+    auto receiver = this->listener;
+    bool own = response_of == response_owner::this_call;
+    if (!own && !interim)
+        receiver->on_other_head(headers);
+    if (this->closed || !this->listener)
+        return;
     if (response_of == response_owner::unknown)
     {
         this->owner->counts.unidentified_responses++;
         return this->end(call_end::broken,
                          "response without " + this->echoed_header);
     }
-    // The listener may cancel the call, which drops this reference to it.
-    auto receiver = this->listener;
-    this->skipping = response_of == response_owner::another_call ||
-                     !receiver->on_head(status, headers);
+    this->skipping = !own || !receiver->on_head(status, headers);
     this->first_response = this->first_response && interim;
     if (!this->skipping)
         return;
--- a/source/http/async_client.hpp
+++ b/source/http/async_client.hpp
@@ -62,6 +62,10 @@
     /// then discards that response and waits for the next one on the same
     /// connection.
     virtual bool on_head(int status, const header_list& headers) = 0;
+
+    /// @brief Receives the headers of a final response that isn't this call's,
+    /// or may not be; its body is discarded.
+    virtual void on_other_head(const header_list& /*headers*/) {}
     virtual void on_body(std::string_view piece) = 0;
     virtual void on_end(call_end result, std::string_view detail) = 0;
 };
