http: Tell from coding and status whether a response has framing

Cause: `is_framed` took any transfer coding for chunks and asked nothing of the status, unlike the parser. Change: only chunks as the last coding frame a body, and a status without a body needs no framing.

--- a/source/batches/item_run.cpp
+++ b/source/batches/item_run.cpp
@@ -73,7 +73,7 @@
                                    this->content.id, this->run);
     this->scheduler.runtime.endpoints().progress(this->run, host::boot_now());
     this->status = status_code;
-    this->framed = http::is_framed(headers);
+    this->framed = http::is_framed(status_code, headers);
     this->not_run = !headers.get(names.not_run).empty() || status_code == 421;
     bool usable = !headers.get(names.signature).empty() &&
                   headers.get("Content-Encoding").empty();
--- a/source/forward/online_request.cpp
+++ b/source/forward/online_request.cpp
@@ -225,7 +225,7 @@
     this->runtime.endpoints().progress(this->run, host::boot_now());
     this->status = status_code;
     this->headers = response_headers;
-    this->framed = http::is_framed(response_headers);
+    this->framed = http::is_framed(status_code, response_headers);
     this->not_run = !response_headers.get(this->names.not_run).empty() ||
                     status_code == 421;
     bool success = status_code >= 200 && status_code < 300;
--- a/source/http/exchange.cpp
+++ b/source/http/exchange.cpp
@@ -2,6 +2,8 @@
 
 #include <strings.h>
 
+#include "http/message_text.hpp"
+
 namespace amaranthhatch::http
 {
 
@@ -26,10 +28,17 @@
     return {};
 }
 
-bool is_framed(const header_list& headers)
+bool is_framed(int status, const header_list& headers)
 {
-    return !headers.get("Content-Length").empty() ||
-           !headers.get("Transfer-Encoding").empty();
+    constexpr std::string_view chunked = "chunked";
+    if (is_bodiless(status))
+        return true;
+    auto coding = headers.get("Transfer-Encoding");
+    if (coding.empty())
+        return !headers.get("Content-Length").empty();
+    return coding.size() >= chunked.size() &&
+           header_list::same_name(coding.substr(coding.size() - chunked.size()),
+                                  chunked);
 }
 
 std::string_view query_value(std::string_view query, std::string_view key)
--- a/source/http/exchange.hpp
+++ b/source/http/exchange.hpp
@@ -77,9 +77,9 @@
     std::unique_ptr<body_source> stream;
 };
 
-/// @brief True if a message shows where its body ends, by a length or by
-/// chunks; else the body ends with the connection.
-bool is_framed(const header_list& headers);
+/// @brief True if a response shows where its body ends: by its status, a
+/// length or chunks. Else the body ends with the connection.
+bool is_framed(int status, const header_list& headers);
 
 /// @brief The value of a key in a query string, or an empty view.
 std::string_view query_value(std::string_view query, std::string_view key);
