forward: Take no success for a refusal

What callers saw, in a test: a stream that had begun got a second head in its body and broke off. Cause: a success that bears the sign of a refusal gave its events on and then counted as not run, so that the request was refused (503) inside the response that had begun. A "not run" would also be untrue. Change: only other statuses can say that the request wasn't run.

--- a/source/forward/online_request.cpp
+++ b/source/forward/online_request.cpp
@@ -226,9 +226,10 @@
     this->status = status_code;
     this->headers = response_headers;
     this->framed = http::is_framed(status_code, response_headers);
-    this->not_run = !response_headers.get(this->names.not_run).empty() ||
-                    status_code == 421;
     bool success = status_code >= 200 && status_code < 300;
+    this->not_run =
+        (!response_headers.get(this->names.not_run).empty() && !success) ||
+        status_code == 421;
     if (success && response_headers.get(this->names.signature).empty())
         this->unusable_reason = "no_signature";
     if (!response_headers.get("Content-Encoding").empty())
--- a/tests/platform/answer_end_test.cpp
+++ b/tests/platform/answer_end_test.cpp
@@ -65,3 +65,17 @@
                             "Connection: close\r\n\r\n");
     CHECK(reply.status == 204);
 }
+
+TEST_CASE_METHOD(raw_answers,
+                 "stream that says it wasn't run, given on in part, has no "
+                 "second answer in it")
+{
+    const std::string event = "id: 1\ndata: x\n\n";
+    auto reply = this->call("HTTP/1.1 200 OK\r\nResponse-Signature: s\r\n"
+                            "Content-Type: text/event-stream\r\n"
+                            "Not-Executed: 1\r\nContent-Length: " +
+                            std::to_string(event.size()) + "\r\n\r\n" + event);
+    CHECK(reply.reached == http::progress::answered);
+    CHECK(reply.status == 200);
+    CHECK(reply.body == event);
+}
