http: Break off a begun response that is answered once more

Cause: `respond` after `begin` wrote a second head into the body of the first response, which callers could take for content. Change: the response is broken off.

--- a/source/http/async_server.cpp
+++ b/source/http/async_server.cpp
@@ -287,6 +287,7 @@
 void async_server::session::refuse(int status, std::string_view reason,
                                    header_list headers)
 {
+    this->response_begun = false;
     this->response_ended = false;
     this->caller_closes = true;
     headers.add("Content-Type", "text/plain");
@@ -314,6 +315,9 @@
 {
     if (this->response_ended || this->closed)
         return;
+    // A second head would become part of the body that has begun.
+    if (this->response_begun)
+        return this->abort();
     // The length of a response to HEAD is that of the body which GET would
     // have; the handler of a response without one may not know it.
     bool has_length =
--- a/tests/core/http10_test.cpp
+++ b/tests/core/http10_test.cpp
@@ -271,3 +271,18 @@
         CHECK(got.end == boost::asio::error::would_block);
     }
 }
+
+TEST_CASE_METHOD(raw_callers,
+                 "streamed response, answered once more, breaks off and has no "
+                 "second head in it")
+{
+    this->handle = [](const exchange_ptr& exchange)
+    {
+        exchange->begin(200, {});
+        exchange->write("one");
+        exchange->respond(503, {}, "not run");
+    };
+    auto got = this->ask("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(got.body() == "3\r\none\r\n");
+    CHECK(got.closed());
+}
