host: Count crashes after a request's start apart

Change: only a run that was sent before the last close can share its cause. The test "deadly request, crashes one endpoint after the other at once, ..." failed before (1 crash for 3) and passes.

--- a/source/host/shared_quarantine.cpp
+++ b/source/host/shared_quarantine.cpp
@@ -124,7 +124,10 @@
     report.run = core::hash(run.request, report.endpoint);
     report.service = core::hash(run.service);
     report.parts = run.parts;
-    if (now - this->last_closed_at < same_cause_time)
+    // A request that was sent after the last close found its endpoint running.
+    bool same_cause = run.sent_at < this->last_closed_at &&
+                      now - this->last_closed_at < same_cause_time;
+    if (same_cause)
         report.endpoint = this->last_closed_endpoint;
     this->last_closed_at = now;
     this->last_closed_endpoint = report.endpoint;
