--- a/review/standins/standins.hpp
+++ b/review/standins/standins.hpp
@@ -975,6 +975,8 @@
     /// Called at the start of each run with the number of the run (from 0) of
     /// that request: how many events until the worker breaks off, or -1.
     std::function<int(const message& asked, int number)> breaks_after;
+    /// Keeps the connection alive with a comment while it reads the prompt.
+    std::atomic<bool> sends_comments{false};
 
 private:
     void beat()
@@ -1098,6 +1100,12 @@
         int first = std::atoi(asked.get("Last-Event-Id").c_str()) + 1;
         bool good = true;
         int sent = 0;
+        if (this->sends_comments)
+        {
+            // ": keep-alive" and an empty line.
+            good = send_all(file, head + "e\r\n: keep-alive\n\n\r\n");
+            head.clear();
+        }
         for (int at = first; good && at <= this->events; at++)
         {
             pause(this->event_ms);
