batches: Write a proposed placement only at its own revision

Cause: placement_agent kept a proposal whose outcome was unknown, to repeat it, although the host had read a later placement meanwhile; the repeat took its condition from the revision read last. The compare-and-swap then put the old proposal over the changes of other hosts: epochs went back, and copies refused the owner that was named again.

Ruled out: late writes of the store (they end as conflicts), older copies from peers (their revision is compared).

A proposal now carries its base revision, which is the condition of each of its writes, and is void once a later one has been read. What waits for its outcome is resumed at that moment, as it can't take effect any more.

--- a/source/batches/placement_agent.cpp
+++ b/source/batches/placement_agent.cpp
@@ -147,7 +147,7 @@
     if (this->committing || now < this->commit_after)
         return;
     if (this->unconfirmed_change)
-        return this->commit(model::placement(*this->unconfirmed_change));
+        return this->commit(proposal(*this->unconfirmed_change));
     this->plan_changes(this->disk_hosts());
 }
 
@@ -170,7 +170,7 @@
         changed = true;
     }
     if (changed)
-        this->commit(plan.next);
+        this->propose(std::move(plan.next));
 }
 
 void placement_agent::read_placement()
@@ -270,7 +270,7 @@
     auto initial = model::first_placement(
         partition_count, this->runtime.settings().lost_disks + 1, hosts);
     if (initial)
-        this->commit(*initial);
+        this->propose(std::move(*initial));
 }
 
 bool placement_agent::plan_owned_partition(std::size_t partition,
@@ -447,42 +447,52 @@
     return true;
 }
 
-void placement_agent::commit(const model::placement& next)
+void placement_agent::propose(model::placement next)
+{
+    this->commit({std::move(next), this->revision});
+}
+
+void placement_agent::commit(const proposal& proposed)
 {
     this->committing = true;
     store::change change;
-    change.conditions.push_back({this->key(), this->revision});
-    change.writes.push_back({this->key(), placement_text(next), 0});
+    change.conditions.push_back({this->key(), proposed.base_revision});
+    change.writes.push_back({this->key(), placement_text(proposed.next), 0});
     this->runtime.shared_store().commit(
-        change, [this, next](const store::change_result& result)
-        { this->on_commit_result(next, result); });
+        change, [this, proposed](const store::change_result& result)
+        { this->on_commit_result(proposed, result); });
 }
 
-void placement_agent::on_commit_result(const model::placement& next,
+void placement_agent::on_commit_result(const proposal& proposed,
                                        const store::change_result& result)
 {
     this->committing = false;
     logging::event(logging::level::info, "placement_proposed")
         .with("result", store::outcome_name(result.result))
+        .with("base", static_cast<std::int64_t>(proposed.base_revision))
+        .with("known", static_cast<std::int64_t>(this->revision))
         .with("revision", static_cast<std::int64_t>(result.revision));
     if (result.result == store::outcome::done &&
         result.revision > this->revision)
     {
-        this->current = next;
+        this->current = proposed.next;
         this->revision = result.revision;
-        this->jobs.set_partitions(next.partitions.size());
+        this->jobs.set_partitions(this->current->partitions.size());
         this->set_partner_disks();
         this->resume_owners();
         return this->update_owners();
     }
     this->commit_after = host::boot_now() + commit_retry_delay;
+    // read_placement() has resumed the owners if the base revision has passed.
+    if (proposed.base_revision != this->revision)
+        return;
     bool any_waiting = std::any_of(this->owners.begin(), this->owners.end(),
                                    [](const auto& entry) {
                                        return entry.second->suspended() ||
                                               entry.second->learner_required();
                                    });
     if (result.result == store::outcome::unknown && any_waiting)
-        this->unconfirmed_change = next;
+        this->unconfirmed_change = proposed;
     else if (result.result == store::outcome::refused &&
              !this->unconfirmed_change)
         this->resume_owners();
--- a/source/batches/placement_agent.hpp
+++ b/source/batches/placement_agent.hpp
@@ -71,6 +71,17 @@
         core::batches::placement_balance balance;
     };
 
+    /// @brief A changed placement and the revision that it was derived from.
+    ///
+    /// Its write can take effect only at that revision. Once a later one has
+    /// been read, the proposal is void: written at the later revision, it would
+    /// undo the changes of other hosts.
+    struct proposal
+    {
+        core::batches::placement next;
+        std::uint64_t base_revision = 0;
+    };
+
     /// @brief The one copy that this host is moving to balance the disks.
     struct active_move
     {
@@ -99,8 +110,9 @@
                       const std::string& replaced, placement_plan& plan);
     bool transfer_ownership(std::size_t partition, partition_owner& owner,
                             placement_plan& plan);
-    void commit(const core::batches::placement& next);
-    void on_commit_result(const core::batches::placement& next,
+    void propose(core::batches::placement next);
+    void commit(const proposal& proposed);
+    void on_commit_result(const proposal& proposed,
                           const store::change_result& result);
     void resume_owners();
     void drop_orphaned_jobs();
@@ -130,11 +142,12 @@
     bool committing = false;
     core::instant commit_after{};
     std::optional<active_move> balancing_move;
-    /// A placement that transfers ownership or moves copies and whose write to
-    /// the store has an unknown outcome. Until it is known, the owners on this
-    /// host stay suspended, as their successors may already serve requests, and
-    /// records are committed only on the disks of both placements.
-    std::optional<core::batches::placement> unconfirmed_change;
+    /// A proposal that transfers ownership or moves copies and whose write to
+    /// the store has an unknown outcome. Until a placement after its base
+    /// revision is known, the owners on this host stay suspended, as their
+    /// successors may already serve requests, and records are committed only on
+    /// the disks of both placements.
+    std::optional<proposal> unconfirmed_change;
 };
 
 } // namespace amaranthhatch::batches
--- a/tests/core/disk_fleet.cpp
+++ b/tests/core/disk_fleet.cpp
@@ -49,19 +49,49 @@
 
 void placement_store::list(std::string_view prefix, listing_callback done)
 {
-    store::listing listed{store::outcome::done, 1, {}};
+    store::listing listed{store::outcome::done, this->revision, {}};
     if (prefix == this->placement_key)
-        listed.entries.push_back(
-            {this->placement_key, batches::placement_text(this->placement), 1});
+        listed.entries.push_back({this->placement_key,
+                                  batches::placement_text(this->placement),
+                                  this->revision});
     done(listed);
 }
 
+void placement_store::watch(std::string_view prefix, std::uint64_t,
+                            std::chrono::milliseconds, listing_callback done)
+{
+    if (prefix == this->placement_key)
+        this->watcher = std::move(done);
+}
+
 void placement_store::commit(const store::change& wanted, change_callback done)
 {
+    for (const auto& condition : wanted.conditions)
+        if (condition.key == this->placement_key)
+            this->required_revisions.push_back(condition.revision);
     for (const auto& write : wanted.writes)
         if (write.key == this->placement_key)
             this->written.push_back(*batches::parse_placement(write.value));
-    done({this->write_outcome, this->written.size() + 1});
+    if (this->hold_writes)
+        return this->held.push_back(std::move(done));
+    done({this->write_outcome, ++this->revision});
+}
+
+void placement_store::release_writes()
+{
+    for (const auto& done : std::exchange(this->held, {}))
+        done({this->write_outcome, 0});
+}
+
+void placement_store::publish(model::placement changed)
+{
+    this->placement = std::move(changed);
+    this->revision++;
+    auto tell = std::exchange(this->watcher, nullptr);
+    tell({store::outcome::done,
+          this->revision,
+          {{this->placement_key, batches::placement_text(this->placement),
+            this->revision}}});
 }
 
 copy_host::copy_host(boost::asio::io_context& loop, std::string name)
--- a/tests/core/disk_fleet.hpp
+++ b/tests/core/disk_fleet.hpp
@@ -27,10 +27,8 @@
 {
 public:
     void list(std::string_view prefix, listing_callback done) override;
-    void watch(std::string_view, std::uint64_t, std::chrono::milliseconds,
-               listing_callback) override
-    {
-    }
+    void watch(std::string_view prefix, std::uint64_t after_revision,
+               std::chrono::milliseconds wait, listing_callback done) override;
     void commit(const store::change& wanted, change_callback done) override;
     void grant(std::chrono::milliseconds, lease_callback done) override
     {
@@ -39,11 +37,27 @@
     void renew(std::uint64_t, lease_callback done) override { done({}); }
     void revoke(std::uint64_t, lease_callback done) override { done({}); }
 
+    /// @brief Answers the writes that were held back with write_outcome.
+    void release_writes();
+
+    /// @brief Changes the placement as another host does, at the next
+    /// revision, and tells the watching host.
+    void publish(core::batches::placement changed);
+
     std::string placement_key;
     core::batches::placement placement;
+    std::uint64_t revision = 1;
     store::outcome write_outcome = store::outcome::done;
+    /// True while writes are recorded, but not answered.
+    bool hold_writes = false;
     /// The placements that were written, oldest first.
     std::vector<core::batches::placement> written;
+    /// The revision that each of these writes required the placement to have.
+    std::vector<std::uint64_t> required_revisions;
+
+private:
+    listing_callback watcher;
+    std::vector<change_callback> held;
 };
 
 /// @brief A host whose disk holds copies of another host's partitions.
--- a/tests/core/placement_agent_test.cpp
+++ b/tests/core/placement_agent_test.cpp
@@ -163,3 +163,47 @@
     this->first.release_appends();
     CHECK(this->first.jobs().synced("job") == 1);
 }
+
+// A proposal whose answer was lost was written once more over newer changes of
+// other hosts: copies went back to emptied disks, and jobs were lost.
+TEST_CASE_METHOD(disk_fleet,
+                 "copy's move, its answer is lost and another host has changed "
+                 "the placement, isn't written over that change")
+{
+    for (auto* host : {&this->first, &this->second, &this->spare})
+    {
+        host->jobs().set_partitions(2);
+        host->heard = true;
+    }
+    core::batches::partition_place other{
+        1, this->second.disk(), 1, {this->second.disk(), this->first.disk()}};
+    this->start(
+        {this->owned_place({this->first.disk(), this->second.disk()}), other});
+    auto own_job = job_in(0, 2);
+    REQUIRE(this->run_until(
+        [&]
+        {
+            auto owner = this->agent.owner_of(own_job);
+            return owner && owner->recovered();
+        },
+        step_limit));
+    this->store.hold_writes = true;
+    this->first.heard = false;
+    REQUIRE(this->run_until([&] { return !this->store.written.empty(); },
+                            step_limit));
+
+    auto changed = this->store.placement;
+    changed.partitions[1].epoch = 2;
+    changed.partitions[1].copies = {this->second.disk(), this->spare.disk()};
+    this->store.publish(changed);
+    this->agent.tick();
+    this->store.hold_writes = false;
+    this->store.write_outcome = store::outcome::unknown;
+    this->store.release_writes();
+    REQUIRE(this->run_until([&] { return this->store.written.size() > 1; },
+                            step_limit));
+    CHECK(this->store.required_revisions.back() == this->store.revision - 1);
+    CHECK(this->store.written.back().partitions[1] == changed.partitions[1]);
+    CHECK(this->store.written.back().partitions[0].holds_copy(
+        this->spare.disk()));
+}
