batches: Serve a partition again whose owner heard of a later epoch

Readers of all jobs of a partition got 503 for as long as the processes ran: the placement named an owner whose copies had seen a later epoch. They refused it, and as its host was alive nobody took over.

Cause: a refusal that names a later epoch was final for an append, and repeated without end for a request for marks, as the placement of a later owner was expected. Where the placement goes on to name the refused owner, nobody acts.

An owner now keeps the latest epoch that it has heard of and, if the placement still names it a second later, proposes one above. An outdated placement makes that write fail; one in force makes it a restart of the same owner, which reconciles with its copies.

Tests: "owner, its copy has seen a later epoch but the placement names this owner, serves in a new epoch" and "owner, superseded while it serves but still named by the placement, serves in a new epoch and keeps its jobs": both failed before, pass; the replayed ownership schedules pass.

--- a/source/batches/partition_owner.cpp
+++ b/source/batches/partition_owner.cpp
@@ -60,6 +60,31 @@
     this->accepting = false;
 }
 
+std::uint64_t partition_owner::latest_epoch() const
+{
+    return std::max({this->current_placement.epoch, this->copies_epoch,
+                     this->jobs.epoch(this->partition)});
+}
+
+std::optional<core::milliseconds> partition_owner::superseded_for() const
+{
+    if (!this->superseded_at)
+        return std::nullopt;
+    return host::boot_now() - *this->superseded_at;
+}
+
+void partition_owner::on_later_epoch(std::uint64_t later)
+{
+    logging::event(logging::level::warning, "ownership_lost")
+        .with("partition", static_cast<std::int64_t>(this->partition))
+        .with("epoch", static_cast<std::int64_t>(this->current_placement.epoch))
+        .with("later", static_cast<std::int64_t>(later));
+    this->copies_epoch = std::max(this->copies_epoch, later);
+    if (!this->superseded_at)
+        this->superseded_at = host::boot_now();
+    this->stop();
+}
+
 bool partition_owner::holds_lease() const
 {
     auto now = host::boot_now();
@@ -207,8 +232,9 @@
 {
     if (this->stopped)
         return;
-    if (this->jobs.epoch(this->partition) > this->current_placement.epoch)
-        return this->stop();
+    auto disk_epoch = this->jobs.epoch(this->partition);
+    if (disk_epoch > this->current_placement.epoch)
+        return this->on_later_epoch(disk_epoch);
     auto now = host::boot_now();
     std::vector<std::string> disks;
     for (const auto& [disk, copy] : this->copies)
@@ -248,11 +274,13 @@
                            return;
                        auto response = body ? unpack_reconcile_response(*body)
                                             : std::nullopt;
-                       bool usable =
-                           response && response->state.result ==
-                                           append_response::status::stored;
-                       if (usable)
+                       auto result = response
+                                         ? response->state.result
+                                         : append_response::status::wrong_disk;
+                       if (result == append_response::status::stored)
                            return self->on_marks(disk, *response);
+                       if (result == append_response::status::stale_epoch)
+                           return self->on_later_epoch(response->state.epoch);
                        found->second.phase = copy_phase::unreconciled;
                        found->second.retry_at = host::boot_now() + retry_delay;
                    });
@@ -426,14 +454,7 @@
 {
     auto& copy = this->copies[disk];
     if (response.result == append_response::status::stale_epoch)
-    {
-        logging::event(logging::level::warning, "ownership_lost")
-            .with("partition", static_cast<std::int64_t>(this->partition))
-            .with("epoch",
-                  static_cast<std::int64_t>(this->current_placement.epoch))
-            .with("later", static_cast<std::int64_t>(response.epoch));
-        return this->stop();
-    }
+        return this->on_later_epoch(response.epoch);
     if (response.result == append_response::status::wrong_disk)
     {
         copy.phase = copy_phase::unreconciled;
--- a/source/batches/partition_owner.hpp
+++ b/source/batches/partition_owner.hpp
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -46,6 +47,15 @@
 
     std::uint64_t epoch() const { return this->current_placement.epoch; }
 
+    /// @brief The latest epoch of the partition that this host or a copy has
+    /// seen. It is later than epoch() once another owner has superseded this
+    /// one.
+    std::uint64_t latest_epoch() const;
+
+    /// @brief How long ago this owner learned of a later epoch; nothing while
+    /// it knows of none.
+    std::optional<core::milliseconds> superseded_for() const;
+
     /// @brief True while records may be added.
     ///
     /// False until the copies are reconciled, while this owner is suspended,
@@ -142,6 +152,7 @@
     void on_marks(const std::string& disk, const reconcile_response& response);
     void send(const std::string& disk);
     void on_stored(const std::string& disk, const append_response& response);
+    void on_later_epoch(std::uint64_t later);
     void begin_serving();
     bool all_copies_reconciled() const;
     bool unresponsive(const std::string& disk) const;
@@ -159,6 +170,10 @@
     core::batches::replication_state replication;
     std::string learner_disk;
     core::instant started{};
+    /// The latest epoch in the copies' responses, and when the first later one
+    /// than this owner's became known.
+    std::uint64_t copies_epoch = 0;
+    std::optional<core::instant> superseded_at;
     bool accepting = false;
     bool stopped = false;
     bool is_suspended = false;
--- a/source/batches/placement_agent.cpp
+++ b/source/batches/placement_agent.cpp
@@ -38,6 +38,9 @@
 // partition for this time, in which every host sends a few beacons. Until then
 // its view of the other hosts may date from the failure that made it the owner.
 constexpr core::milliseconds min_ownership_time{1000};
+// Time in which the placement that names a later owner usually arrives at the
+// owner that it replaces.
+constexpr core::milliseconds superseded_wait{1000};
 
 } // namespace
 
@@ -286,9 +289,18 @@
         return true;
     }
     auto found = this->owners.find(partition);
-    if (found == this->owners.end() || !found->second->serving())
+    if (found == this->owners.end())
         return false;
     auto& owner = *found->second;
+    // The placement still names this host, so that no other host takes over.
+    // If that placement is outdated, the write fails.
+    if (owner.superseded_for() > superseded_wait)
+    {
+        place.epoch = owner.latest_epoch() + 1;
+        return true;
+    }
+    if (!owner.serving())
+        return false;
     auto next_move = this->next_copy_move(partition, owner, plan);
     if (!next_move)
     {
--- a/tests/core/placement_agent_test.cpp
+++ b/tests/core/placement_agent_test.cpp
@@ -207,3 +207,61 @@
     CHECK(this->store.written.back().partitions[0].holds_copy(
         this->spare.disk()));
 }
+
+// An owner that had heard of a later epoch never served its partition again,
+// although the placement named it and nobody else took over.
+TEST_CASE_METHOD(disk_fleet,
+                 "owner, its copy has seen a later epoch but the placement "
+                 "names this owner, serves in a new epoch")
+{
+    constexpr std::uint64_t later_epoch = 5;
+    this->first.jobs().set_partitions(1);
+    this->first.jobs().raise_epoch(0, later_epoch);
+    this->first.heard = true;
+    this->start({this->owned_place({this->first.disk()})});
+    REQUIRE(this->run_until(
+        [&]
+        {
+            auto owner = this->agent.owner_of("job");
+            return owner && owner->epoch() > later_epoch && owner->serving();
+        },
+        step_limit));
+    auto owner = this->agent.owner_of("job");
+    owner->add("job", {accepted_record("job", owner->epoch())});
+    CHECK(this->run_until([&] { return owner->committed("job") == 1; },
+                          step_limit));
+    CHECK(this->first.jobs().synced("job") == 1);
+}
+
+// The same where a copy learns of the later epoch while the owner serves.
+TEST_CASE_METHOD(disk_fleet,
+                 "owner, superseded while it serves but still named by the "
+                 "placement, serves in a new epoch and keeps its jobs")
+{
+    constexpr std::uint64_t later_epoch = 5;
+    this->first.jobs().set_partitions(1);
+    this->first.heard = true;
+    this->start({this->owned_place({this->first.disk()})});
+    REQUIRE(this->run_until(
+        [&]
+        {
+            auto owner = this->agent.owner_of("job");
+            return owner && owner->recovered();
+        },
+        step_limit));
+    auto owner = this->agent.owner_of("job");
+    owner->add("job", {accepted_record("job", 1)});
+    REQUIRE(this->run_until([&] { return owner->committed("job") == 1; },
+                            step_limit));
+    this->first.jobs().raise_epoch(0, later_epoch);
+    owner->add("other", {accepted_record("other", 1)});
+    REQUIRE(this->run_until(
+        [&]
+        {
+            auto next = this->agent.owner_of("job");
+            return next && next->epoch() > later_epoch && next->recovered();
+        },
+        step_limit));
+    CHECK(this->agent.owner_of("job")->committed("job") == 1);
+    CHECK(this->first.jobs().synced("job") == 1);
+}
