batches: Let the lack of one service stop no other service's items

Cause: a pass over the waiting items ended at the first one without a slot, whichever its service. In large fleets the share of starts on a view of the loads was one for all services, computed from the service that asked first: 0 for a lost one.

A pass now remembers which services have no slot and goes on with the others; it ends when none has one. Each service has its own share of starts.

--- a/source/batches/item_run.hpp
+++ b/source/batches/item_run.hpp
@@ -54,6 +54,7 @@
     const std::string& job() const { return this->job_id; }
     std::uint32_t item() const { return this->item_number; }
     const std::string& endpoint() const { return this->endpoint_id; }
+    const std::string& service() const { return this->prompt.service; }
     /// @brief The time for which the run has held its slot.
     core::milliseconds running_for(core::instant now) const
     {
--- a/source/batches/item_scheduler.cpp
+++ b/source/batches/item_scheduler.cpp
@@ -281,14 +281,37 @@
     return out;
 }
 
+std::set<std::string_view> item_scheduler::batch_services() const
+{
+    std::set<std::string_view> out;
+    for (const auto& route : this->table->routes())
+        if (route.kind == core::routes::route_kind::batch)
+            for (const auto& share : route.services)
+                out.insert(share.service);
+    return out;
+}
+
 void item_scheduler::start_items()
 {
     if (!this->table)
         return;
     auto now = host::boot_now();
+    auto open_services = this->batch_services();
     for (const auto& next : this->candidates(now))
-        if (!this->start_item(next, now))
+    {
+        if (open_services.empty())
             return;
+        auto service =
+            core::routes::select_service(*next.route, host::uniform());
+        // Late items come last, so a service that has no slot for one has none
+        // for any item after it.
+        if (!open_services.contains(service) ||
+            this->start_item(next, service, now))
+            continue;
+        open_services.erase(service);
+        this->runtime.metrics_recorder().count(
+            "hatch_passes_without_slot_total", "service", service);
+    }
 }
 
 bool item_scheduler::may_start(std::string_view service, core::instant now)
@@ -296,12 +319,13 @@
     const auto& peers = this->runtime.peers();
     if (!peers.follows_lead())
         return true;
-    if (this->share.is_new(peers.view_number()))
-        this->share.begin_view(peers.view_number(),
-                               this->runtime.endpoints().free_for_batch(
-                                   service, {reserved_slots, 1}, now),
-                               this->placement.owner_count(), host::uniform());
-    return this->share.may_start();
+    auto& share = this->shares[std::string(service)];
+    if (share.is_new(peers.view_number()))
+        share.begin_view(peers.view_number(),
+                         this->runtime.endpoints().free_for_batch(
+                             service, {reserved_slots, 1}, now),
+                         this->placement.owner_count(), host::uniform());
+    return share.may_start();
 }
 
 std::vector<std::uint64_t>
@@ -320,7 +344,9 @@
         .has_value();
 }
 
-bool item_scheduler::start_item(const candidate& next, core::instant now)
+// Returns false if the service has no slot for the item.
+bool item_scheduler::start_item(const candidate& next, std::string_view service,
+                                core::instant now)
 {
     const auto* log = this->jobs.find(next.job);
     const auto& job = *log->submitted();
@@ -333,7 +359,6 @@
                                                "reason", "quarantined");
         return true;
     }
-    auto service = core::routes::select_service(*next.route, host::uniform());
     if (!this->may_start(service, now))
         return false;
     bool late = model::chance_of(next.demand) == model::item_chance::late;
@@ -349,7 +374,7 @@
                                           job.items[next.item], job.authority,
                                           *chosen.chosen, patience);
     this->runs.push_back(run);
-    this->share.on_start();
+    this->shares[run->service()].on_start();
     run->start();
     return true;
 }
@@ -364,7 +389,7 @@
     {
     case item_run::run_state::complete:
     {
-        this->share.on_complete();
+        this->shares[run->service()].on_complete();
         const auto* log = this->jobs.find(run->job());
         const auto* route = log == nullptr || log->submitted() == nullptr
                                 ? nullptr
--- a/source/batches/item_scheduler.hpp
+++ b/source/batches/item_scheduler.hpp
@@ -3,7 +3,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "batches/placement_agent.hpp"
@@ -103,10 +105,12 @@
                                       core::milliseconds held) const;
     void record_work(const core::routes::route& route, core::milliseconds held);
     void start_items();
+    std::set<std::string_view> batch_services() const;
     std::vector<candidate> candidates(core::instant now);
     void add_candidates(const core::batches::job_log& log, core::instant now,
                         std::vector<candidate>& out);
-    bool start_item(const candidate& next, core::instant now);
+    bool start_item(const candidate& next, std::string_view service,
+                    core::instant now);
     bool may_start(std::string_view service, core::instant now);
     std::vector<std::uint64_t>
     shared_parts(const core::batches::item& content) const;
@@ -125,8 +129,9 @@
     std::shared_ptr<const core::routes::route_table> table;
     batches::open_items progress;
     std::vector<std::shared_ptr<item_run>> runs;
-    /// Runs that this host may still start on the present view of the loads.
-    core::batches::start_share share;
+    /// Runs that this host may still start on the present view of the loads, by
+    /// service.
+    std::map<std::string, core::batches::start_share, std::less<>> shares;
     /// When runs were last interrupted at an endpoint.
     std::map<std::string, core::instant> preempted_at;
     /// Mean time in milliseconds for which an item holds a slot, by route.
--- /dev/null
+++ b/tests/core/item_scheduler_test.cpp
@@ -0,0 +1,194 @@
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "batches/item_scheduler.hpp"
+#include "disk_fleet.hpp"
+#include "host/boot_clock.hpp"
+
+using namespace amaranthhatch;
+using namespace std::chrono_literals;
+namespace model = core::batches;
+namespace routes = core::routes;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds step_limit{5000};
+const std::string authority = "host.example";
+
+std::vector<std::uint64_t> no_parts(std::string_view)
+{
+    return {};
+}
+
+routes::route batch_route(const std::string& prefix,
+                          std::vector<routes::service_share> services)
+{
+    routes::route out;
+    out.name = prefix;
+    out.authority = authority;
+    out.prefix = prefix;
+    out.kind = routes::route_kind::batch;
+    out.services = std::move(services);
+    out.completion_target = 18s;
+    out.retention = 60s;
+    out.max_attempts = 3;
+    return out;
+}
+
+std::shared_ptr<const routes::route_table>
+table_of(std::uint64_t version, std::vector<routes::route> all)
+{
+    return std::make_shared<const routes::route_table>(
+        version, std::move(all), std::vector<routes::service>{},
+        routes::caller_limits{});
+}
+
+/// @brief A host that owns one partition and runs its items.
+struct scheduled_items : tests::disk_fleet
+{
+    scheduled_items()
+    {
+        forward::header_names names;
+        names.parse_prompt = no_parts;
+        this->scheduler = std::make_unique<batches::item_scheduler>(
+            this->runtime, this->agent, this->jobs, names);
+        this->start({this->owned_place({})});
+        REQUIRE(this->run_until(
+            [this]
+            {
+                auto owner = this->agent.owner_of("job");
+                return owner && owner->serving();
+            },
+            step_limit));
+    }
+
+    ~scheduled_items() { this->scheduler->stop(); }
+
+    static core::endpoints::endpoint endpoint_of(const std::string& service)
+    {
+        // Connections to it are refused; runs end and start again.
+        return {"endpoint-" + service, service, "127.0.0.1:1",
+                "zone-owner",
+                /*slots*/ 8,           false,   0};
+    }
+
+    /// @brief Accepts a job that was submitted this long ago.
+    void accept(const std::string& job, const std::string& path,
+                std::size_t items, core::milliseconds age = 0ms)
+    {
+        auto content = std::make_shared<model::job>();
+        content->id = job;
+        content->authority = authority;
+        content->path = path;
+        content->submitted_ms = host::wall_now_ms() - age.count();
+        content->items.resize(items);
+        for (auto& item : content->items)
+            item.target = path;
+        auto record = std::make_shared<model::record>();
+        record->epoch = 1;
+        record->accepted = std::move(content);
+        auto owner = this->agent.owner_of(job);
+        owner->add(job, {std::move(record)});
+        REQUIRE(this->run_until([&] { return owner->committed(job) > 0; },
+                                step_limit));
+    }
+
+    /// @brief Makes this host use the loads that another host sums up, as in a
+    /// large fleet.
+    void follow_lead()
+    {
+        auto& peers = this->runtime.peers();
+        core::peers::beacon lead;
+        lead.zone = this->runtime.settings().zone;
+        lead.incarnation = 1;
+        lead.scope = core::peers::beacon_scope::fleet;
+        for (int number = 0; !peers.follows_lead(); number++)
+        {
+            lead.name = "lead" + std::to_string(number);
+            lead.sent_ms = host::boot_now().count();
+            peers.receive(lead, host::boot_now());
+        }
+    }
+
+    std::size_t running_of(const std::string& job) const
+    {
+        std::size_t count = 0;
+        auto found = this->scheduler->open_items().find(job);
+        if (found == this->scheduler->open_items().end())
+            return 0;
+        for (const auto& [item, state] : found->second)
+            count += state.running ? 1 : 0;
+        return count;
+    }
+
+    std::unique_ptr<batches::item_scheduler> scheduler;
+};
+
+} // namespace
+
+// While one service had no endpoint, no item of any other service was run.
+TEST_CASE_METHOD(scheduled_items,
+                 "items of two services, one has lost its endpoints, those of "
+                 "the other run")
+{
+    this->scheduler->apply(table_of(1, {batch_route("/lost", {{"lost", 1}}),
+                                        batch_route("/kept", {{"kept", 1}})}));
+    this->runtime.endpoints().replace({endpoint_of("kept")});
+    this->accept("earlier", "/lost", 3, 1s);
+    this->accept("later", "/kept", 3);
+    this->scheduler->schedule();
+    CHECK(this->running_of("earlier") == 0);
+    CHECK(this->running_of("later") == 3);
+}
+
+// The same where the items are late: they come in another order then.
+TEST_CASE_METHOD(scheduled_items,
+                 "late items of two services, one has lost its endpoints, "
+                 "those of the other run")
+{
+    this->scheduler->apply(table_of(1, {batch_route("/lost", {{"lost", 1}}),
+                                        batch_route("/kept", {{"kept", 1}})}));
+    this->runtime.endpoints().replace({endpoint_of("kept")});
+    this->accept("earlier", "/lost", 3, 20s);
+    this->accept("later", "/kept", 3, 19s);
+    this->scheduler->schedule();
+    CHECK(this->running_of("earlier") == 0);
+    CHECK(this->running_of("later") == 3);
+}
+
+// Each pass chooses a service anew, so that no item stays with the lost one.
+TEST_CASE_METHOD(scheduled_items,
+                 "items of a split route, one service has lost its endpoints, "
+                 "run at the other")
+{
+    this->scheduler->apply(
+        table_of(1, {batch_route("/split", {{"lost", 1}, {"kept", 1}})}));
+    this->runtime.endpoints().replace({endpoint_of("kept")});
+    this->accept("job", "/split", 6);
+    constexpr int passes = 30;
+    for (int pass = 0; pass < passes; pass++)
+        this->scheduler->schedule();
+    CHECK(this->running_of("job") == 6);
+}
+
+// In a large fleet, the share of starts was computed for the first service that
+// was asked for, and held for all others.
+TEST_CASE_METHOD(scheduled_items,
+                 "items of two services on one view of the loads, one has lost "
+                 "its endpoints, those of the other run")
+{
+    this->scheduler->apply(table_of(1, {batch_route("/lost", {{"lost", 1}}),
+                                        batch_route("/kept", {{"kept", 1}})}));
+    this->runtime.endpoints().replace({endpoint_of("kept")});
+    this->accept("earlier", "/lost", 3, 1s);
+    this->accept("later", "/kept", 3);
+    this->follow_lead();
+    this->scheduler->schedule();
+    CHECK(this->running_of("earlier") == 0);
+    CHECK(this->running_of("later") == 3);
+}
