batches: Keep items whose route their owner hasn't read yet

Cause: a job said nothing of the configuration that it was accepted under, so an owner with an older copy took the route for ended. It also accepted such jobs without a check of the route's limit.

Evidence: entries apply version 8 at 34:07.626, the owner gives items up at .704 with "no matching batch route" and takes version 8 over at .833. Batch hosts now log the version that they apply. Ruled out: an older version in force for a moment, as versions never decrease.

A job now carries the version in which the entry found its route, in calls, records and on disks; releases before ignore the field. An owner that hasn't read that version answers 421, which entries already repeat for up to 2.2 s; one that has, and has no such route, refuses the job as not taken. Items of such jobs on a new owner wait; no older retention, attempts or service is applied.

--- a/source/batches/batch_service.cpp
+++ b/source/batches/batch_service.cpp
@@ -169,6 +169,16 @@
         // the check of the route's limit.
         if (!owner->holds_lease() || !owner->recovered())
             return this->refuse(*job, *exchange, 503, "no lease");
+        // The entry tries again until this host has read the configuration.
+        if (!this->scheduler.knows_configuration_of(*job))
+        {
+            this->runtime.metrics_recorder().count(
+                "hatch_jobs_refused_total", "reason", "configuration not read");
+            return exchange->respond(421, {}, "configuration not read yet\n");
+        }
+        if (this->scheduler.route_of(*job) == nullptr)
+            return this->refuse(*job, *exchange, 503,
+                                "no matching batch route");
         if (this->jobs.full(this->runtime.settings().disk_bytes))
             return this->refuse(*job, *exchange, 503, "disk full");
         if (this->over_limit(*job))
@@ -199,7 +209,7 @@
 bool batch_service::over_limit(const model::job& job) const
 {
     const auto* route = this->scheduler.route_of(job);
-    if (route == nullptr || route->backlog_tokens == 0)
+    if (route->backlog_tokens == 0)
         return false;
     std::uint64_t job_tokens = 0;
     for (const auto& item : job.items)
--- a/source/batches/batch_service.hpp
+++ b/source/batches/batch_service.hpp
@@ -75,6 +75,8 @@
     void accept(core::batches::job&& job);
     void refuse(const core::batches::job& job, http::server_exchange& exchange,
                 int status, std::string_view reason);
+    /// @brief True if the job doesn't fit into the limit of its route, which
+    /// this host must know.
     bool over_limit(const core::batches::job& job) const;
     void read(const std::string& job, const exchange_ptr& exchange);
     void read_body(const std::string& job, const exchange_ptr& exchange);
--- a/source/batches/item_scheduler.cpp
+++ b/source/batches/item_scheduler.cpp
@@ -67,8 +67,13 @@
 void item_scheduler::apply(
     std::shared_ptr<const core::routes::route_table> newer)
 {
-    if (!this->table || newer->version() > this->table->version())
-        this->table = std::move(newer);
+    if (this->table && newer->version() <= this->table->version())
+        return;
+    this->table = std::move(newer);
+    logging::event(logging::level::info, "configuration_applied")
+        .with("version", static_cast<std::int64_t>(this->table->version()))
+        .with("routes",
+              static_cast<std::int64_t>(this->table->routes().size()));
 }
 
 const core::routes::route* item_scheduler::route_of(const model::job& job) const
@@ -81,6 +86,11 @@
     return batch ? found : nullptr;
 }
 
+bool item_scheduler::knows_configuration_of(const model::job& job) const
+{
+    return this->table && this->table->version() >= job.configuration_version;
+}
+
 item_progress& item_scheduler::progress_of(const std::string& job,
                                            std::uint32_t item)
 {
@@ -262,6 +272,7 @@
 item_scheduler::candidates(core::instant now)
 {
     std::vector<candidate> out;
+    std::size_t waiting = 0;
     for (const auto& [partition, owner] : this->placement.owned())
     {
         if (!owner->serving() || !owner->holds_lease())
@@ -271,10 +282,17 @@
             const auto* log = this->jobs.find(id);
             bool open = log->submitted() != nullptr && !log->closed() &&
                         owner->committed(id) > 0;
-            if (open)
+            if (!open)
+                continue;
+            // An older configuration may lack the job's route, or hold limits
+            // and services that no longer apply.
+            if (this->knows_configuration_of(*log->submitted()))
                 this->add_candidates(*log, now, out);
+            else
+                waiting++;
         }
     }
+    this->report_waiting_jobs(waiting);
     std::stable_sort(out.begin(), out.end(),
                      [](const candidate& left, const candidate& right)
                      { return model::runs_before(left.demand, right.demand); });
@@ -291,6 +309,18 @@
     return out;
 }
 
+void item_scheduler::report_waiting_jobs(std::size_t count)
+{
+    if (count == this->waiting_jobs)
+        return;
+    this->waiting_jobs = count;
+    this->runtime.metrics_recorder().set("hatch_jobs_awaiting_configuration",
+                                         static_cast<double>(count));
+    logging::event(logging::level::info, "jobs_await_configuration")
+        .with("jobs", static_cast<std::int64_t>(count))
+        .with("version", static_cast<std::int64_t>(this->table->version()));
+}
+
 void item_scheduler::start_items()
 {
     if (!this->table)
--- a/source/batches/item_scheduler.hpp
+++ b/source/batches/item_scheduler.hpp
@@ -74,6 +74,10 @@
     std::uint64_t backlog_tokens(std::string_view route) const;
 
     const core::routes::route* route_of(const core::batches::job& job) const;
+
+    /// @brief True if this host has read the configuration in which the job's
+    /// route was found, or a later one: a route that is missing then has ended.
+    bool knows_configuration_of(const core::batches::job& job) const;
     const core::routes::route_table* routes() const
     {
         return this->table.get();
@@ -107,6 +111,7 @@
     void start_items();
     std::set<std::string_view> batch_services() const;
     std::vector<candidate> candidates(core::instant now);
+    void report_waiting_jobs(std::size_t count);
     void add_candidates(const core::batches::job_log& log, core::instant now,
                         std::vector<candidate>& out);
     bool start_item(const candidate& next, std::string_view service,
@@ -136,6 +141,8 @@
     std::map<std::string, core::instant> preempted_at;
     /// Mean time in milliseconds for which an item holds a slot, by route.
     std::map<std::string, double, std::less<>> mean_work;
+    /// Open jobs whose configuration this host hasn't read yet.
+    std::size_t waiting_jobs = 0;
     bool scheduling = false;
     bool stopped = false;
 };
--- a/source/batches/records.cpp
+++ b/source/batches/records.cpp
@@ -36,7 +36,10 @@
     std::string path;
     std::int64_t submitted_ms = 0;
     std::vector<packed_item> items;
-    MSGPACK_DEFINE(id, authority, path, submitted_ms, items)
+    // Earlier releases don't send it, and ignore it.
+    std::uint64_t configuration_version = 0;
+    MSGPACK_DEFINE(id, authority, path, submitted_ms, items,
+                   configuration_version)
 };
 
 struct packed_record
@@ -119,7 +122,9 @@
 
 packed_job to_packed(const model::job& job)
 {
-    packed_job packed{job.id, job.authority, job.path, job.submitted_ms, {}};
+    packed_job packed{job.id,   job.authority,
+                      job.path, job.submitted_ms,
+                      {},       job.configuration_version};
     for (const auto& item : job.items)
         packed.items.push_back(
             {item.id, item.target, item.headers, item.body, item.tokens});
@@ -133,6 +138,7 @@
     job.authority = std::move(packed.authority);
     job.path = std::move(packed.path);
     job.submitted_ms = packed.submitted_ms;
+    job.configuration_version = packed.configuration_version;
     for (auto& item : packed.items)
         job.items.push_back({std::move(item.id), std::move(item.target),
                              std::move(item.headers), std::move(item.body),
--- a/source/core/batches/job_log.hpp
+++ b/source/core/batches/job_log.hpp
@@ -32,6 +32,9 @@
     /// the job.
     std::int64_t submitted_ms = 0;
     std::vector<item> items;
+    /// Version of the configuration that the entry matched the job's route in;
+    /// 0 in jobs of releases that didn't record it.
+    std::uint64_t configuration_version = 0;
 };
 
 /// @brief Type of a record in a job's log.
--- a/source/forward/online_router.cpp
+++ b/source/forward/online_router.cpp
@@ -74,7 +74,7 @@
     if (matched == nullptr)
         return this->reject(*exchange, 404, "no_route");
     if (matched->kind == route_kind::batch)
-        return this->batch(std::move(exchange));
+        return this->batch(std::move(exchange), this->configuration->version());
     std::make_shared<online_request>(this->runtime, this->names,
                                      this->configuration, *matched,
                                      std::move(exchange))
--- a/source/forward/online_router.hpp
+++ b/source/forward/online_router.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -21,9 +22,11 @@
 class online_router
 {
 public:
-    /// Handles requests of batch routes.
+    /// Handles requests of batch routes; the version is that of the
+    /// configuration in which the route was found.
     using batch_handler =
-        std::function<void(std::shared_ptr<http::server_exchange> exchange)>;
+        std::function<void(std::shared_ptr<http::server_exchange> exchange,
+                           std::uint64_t configuration_version)>;
 
     online_router(host::host_runtime& runtime, header_names names,
                   batch_handler batch);
--- a/tests/core/disk_fleet.cpp
+++ b/tests/core/disk_fleet.cpp
@@ -31,6 +31,8 @@
     return "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
 }
 
+} // namespace
+
 host::host_settings owner_settings()
 {
     host::host_settings settings;
@@ -45,8 +47,6 @@
     return settings;
 }
 
-} // namespace
-
 void placement_store::list(std::string_view prefix, listing_callback done)
 {
     store::listing listed{store::outcome::done, this->revision, {}};
--- a/tests/core/disk_fleet.hpp
+++ b/tests/core/disk_fleet.hpp
@@ -60,6 +60,9 @@
     std::vector<change_callback> held;
 };
 
+/// @brief Settings of the host that owns partitions, on a free address.
+host::host_settings owner_settings();
+
 /// @brief A host whose disk holds copies of another host's partitions.
 class copy_host
 {
--- a/tests/core/item_scheduler_test.cpp
+++ b/tests/core/item_scheduler_test.cpp
@@ -77,15 +77,18 @@
                 /*slots*/ 8,           false,   0};
     }
 
-    /// @brief Accepts a job that was submitted this long ago.
+    /// @brief Accepts a job that was submitted this long ago, by an entry with
+    /// this version of the configuration.
     void accept(const std::string& job, const std::string& path,
-                std::size_t items, core::milliseconds age = 0ms)
+                std::size_t items, core::milliseconds age = 0ms,
+                std::uint64_t configuration_version = 0)
     {
         auto content = std::make_shared<model::job>();
         content->id = job;
         content->authority = authority;
         content->path = path;
         content->submitted_ms = host::wall_now_ms() - age.count();
+        content->configuration_version = configuration_version;
         content->items.resize(items);
         for (auto& item : content->items)
             item.target = path;
@@ -192,3 +195,66 @@
     CHECK(this->running_of("earlier") == 0);
     CHECK(this->running_of("later") == 3);
 }
+
+// Items of accepted jobs were given up at once by an owner that hadn't read the
+// configuration with their route yet.
+TEST_CASE_METHOD(scheduled_items,
+                 "items of a route that the owner hasn't read, wait until it "
+                 "has and then run")
+{
+    this->runtime.endpoints().replace({endpoint_of("kept")});
+    this->scheduler->apply(table_of(1, {batch_route("/old", {{"kept", 1}})}));
+    this->accept("job", "/new", 2, 0ms, 2);
+    this->scheduler->schedule();
+    CHECK(this->jobs.find("job")->finished_count() == 0);
+    CHECK(this->running_of("job") == 0);
+
+    this->scheduler->apply(table_of(2, {batch_route("/old", {{"kept", 1}}),
+                                        batch_route("/new", {{"kept", 1}})}));
+    this->scheduler->schedule();
+    CHECK(this->running_of("job") == 2);
+}
+
+// A route that is missing in the job's own configuration or a later one has
+// ended, and its items are given up.
+TEST_CASE_METHOD(scheduled_items,
+                 "items of a route that has ended, are given up")
+{
+    this->runtime.endpoints().replace({endpoint_of("kept")});
+    this->scheduler->apply(table_of(1, {batch_route("/old", {{"kept", 1}})}));
+    this->accept("job", "/new", 2, 0ms, 2);
+    this->scheduler->apply(table_of(3, {batch_route("/old", {{"kept", 1}})}));
+    this->scheduler->schedule();
+    CHECK(this->jobs.find("job")->finished_count() == 2);
+}
+
+// The limits of an older configuration gave up items that the one they were
+// accepted under keeps.
+TEST_CASE_METHOD(scheduled_items,
+                 "items past the retention of an older configuration, wait for "
+                 "the one that they were accepted under")
+{
+    this->runtime.endpoints().replace({endpoint_of("kept")});
+    auto short_kept = batch_route("/jobs", {{"kept", 1}});
+    short_kept.retention = 1s;
+    this->scheduler->apply(table_of(1, {short_kept}));
+    this->accept("job", "/jobs", 2, 5s, 2);
+    this->scheduler->schedule();
+    CHECK(this->jobs.find("job")->finished_count() == 0);
+    this->scheduler->apply(table_of(2, {batch_route("/jobs", {{"kept", 1}})}));
+    this->scheduler->schedule();
+    CHECK(this->running_of("job") == 2);
+}
+
+// An older configuration may lead to a service that the route has left.
+TEST_CASE_METHOD(scheduled_items,
+                 "items of a route that has moved, don't run at the service of "
+                 "an older configuration")
+{
+    this->runtime.endpoints().replace(
+        {endpoint_of("kept"), endpoint_of("left")});
+    this->scheduler->apply(table_of(1, {batch_route("/jobs", {{"left", 1}})}));
+    this->accept("job", "/jobs", 2, 0ms, 2);
+    this->scheduler->schedule();
+    CHECK(this->running_of("job") == 0);
+}
