forward: Take no request that a stopping host would cut

Callers whose request came late in the grace time of a planned stop got a stream that was cut, also where it may not be repeated (LOST).

Cause: a stopping host asked whether connections are idle, never how long a request takes. Uploads that end late and connections from the end of the notice were passed on, and cut at nine tenths of the grace time.

Evidence: a platform test ends an upload 6 s after SIGTERM, with 1.2 s left for a stream of 2 s: the worker ran it once and the caller's stream was cut. Ruled out by the tests of server stops: requests that aren't passed on, which get 503 or 504.

A host that leaves now compares the time until it ends open requests with twice the service's mean time, four times for requests that may not be repeated, or the deadline if that comes first. What would be cut is refused as not run, with Retry-After, before it is passed on: the caller can ask another host.

Tests: "SIGTERM, request whose upload ends late in the grace time, is refused as not run" failed before (4 checks), passes; "request of a stopping host, could be cut before its end, isn't taken" states the rule.

--- a/source/forward/online_request.cpp
+++ b/source/forward/online_request.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <cstdio>
 
+#include "core/limits/stopping_host.hpp"
 #include "core/quarantine/request_identity.hpp"
 #include "forward/leaving_answer.hpp"
 #include "host/boot_clock.hpp"
@@ -109,11 +110,27 @@
     return host::boot_now() < this->deadline;
 }
 
+bool online_request::repeatable() const
+{
+    return this->route.kind == route_kind::idempotent ||
+           (is_stream(this->route) && this->route.resumable);
+}
+
+bool online_request::ends_before_stop() const
+{
+    auto until_stop = this->runtime.time_until_stop();
+    if (!until_stop)
+        return true;
+    return core::limits::ends_before_stop(
+        {*until_stop, this->deadline - host::boot_now(),
+         this->runtime.endpoints().mean_slot_time(this->service)},
+        this->repeatable());
+}
+
 bool online_request::may_retry() const
 {
-    bool idempotent = this->route.kind == route_kind::idempotent ||
-                      (is_stream(this->route) && this->route.resumable);
-    return idempotent && this->possible_runs < this->route.max_attempts &&
+    return this->repeatable() &&
+           this->possible_runs < this->route.max_attempts &&
            this->sends < send_limit && this->has_time_left();
 }
 
@@ -124,6 +141,8 @@
             this->runtime.quarantine().blocked_for(this->prompt.parts))
         return this->possible_runs == 0 ? this->refuse("quarantined", *blocked)
                                         : this->fail(502, "quarantined");
+    if (this->possible_runs == 0 && !this->ends_before_stop())
+        return this->refuse("stopping", this->runtime.settings().retry_after);
     bool suspected = now < this->suspected_until &&
                      this->runtime.quarantine().suspects(this->prompt.parts);
     if (suspected)
--- a/source/forward/online_request.hpp
+++ b/source/forward/online_request.hpp
@@ -62,7 +62,9 @@
     void on_complete();
     void on_not_run();
     void on_failure(std::string_view detail);
+    bool repeatable() const;
     bool may_retry() const;
+    bool ends_before_stop() const;
     bool has_time_left() const;
     void end_run(core::endpoints::run_outcome result);
     void drop_call(core::endpoints::run_outcome result);
--- a/source/host/graceful_stop.cpp
+++ b/source/host/graceful_stop.cpp
@@ -33,6 +33,12 @@
         });
 }
 
+core::milliseconds graceful_stop::request_time(core::milliseconds grace)
+{
+    return std::chrono::duration_cast<core::milliseconds>(grace *
+                                                          forced_stop_share);
+}
+
 void graceful_stop::begin()
 {
     this->stop_requested = true;
@@ -54,9 +60,7 @@
 void graceful_stop::wait_idle()
 {
     auto elapsed = boot_now() - this->begun_at;
-    bool out_of_time =
-        static_cast<double>(elapsed.count()) >
-        forced_stop_share * static_cast<double>(this->settings.grace.count());
+    bool out_of_time = elapsed > request_time(this->settings.grace);
     bool idle = !this->actions.idle || this->actions.idle();
     if (idle || out_of_time)
     {
--- a/source/host/graceful_stop.hpp
+++ b/source/host/graceful_stop.hpp
@@ -38,6 +38,9 @@
     graceful_stop(boost::asio::io_context& loop, const host_settings& settings,
                   core::milliseconds notice, steps actions);
 
+    /// @brief The part of a grace period after which open requests are ended.
+    static core::milliseconds request_time(core::milliseconds grace);
+
     /// @brief True after SIGTERM or SIGINT was received.
     bool stopping() const { return this->stop_requested; }
 
--- a/source/host/host_runtime.cpp
+++ b/source/host/host_runtime.cpp
@@ -6,6 +6,7 @@
 #include "core/hash.hpp"
 #include "errors/contain.hpp"
 #include "host/boot_clock.hpp"
+#include "host/graceful_stop.hpp"
 #include "host/registration.hpp"
 #include "http/buffered_call.hpp"
 #include "logging/event.hpp"
@@ -216,9 +217,18 @@
 void host_runtime::leave()
 {
     this->leaving = true;
+    this->leaving_since = boot_now();
     this->load_changed();
 }
 
+std::optional<core::milliseconds> host_runtime::time_until_stop() const
+{
+    if (!this->leaving)
+        return std::nullopt;
+    return graceful_stop::request_time(this->current_settings.grace) -
+           (boot_now() - this->leaving_since);
+}
+
 void host_runtime::stop()
 {
     this->stopped = true;
--- a/source/host/host_runtime.hpp
+++ b/source/host/host_runtime.hpp
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
@@ -79,6 +80,10 @@
     /// @brief Announces in the beacons that this host leaves.
     void leave();
 
+    /// @brief The time until this host, which leaves, ends the requests that
+    /// are open then; nothing while it doesn't leave.
+    std::optional<core::milliseconds> time_until_stop() const;
+
     /// @brief Revokes the registration and stops mirrors and beacons.
     void stop();
 
@@ -155,6 +160,7 @@
     std::uint64_t lease = 0;
     std::size_t next_seed = 0;
     bool leaving = false;
+    core::instant leaving_since{};
     bool stopped = false;
 };
 
--- a/tests/core/server_stop_test.cpp
+++ b/tests/core/server_stop_test.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include "core/limits/stopping_host.hpp"
 #include "host/graceful_stop.hpp"
 #include "http/async_server.hpp"
 
@@ -361,3 +362,33 @@
     CHECK(answer.find("Retry-After: ") != answer.npos);
     CHECK(this->handled == 0);
 }
+
+// Requests taken late in a planned stop were passed on and cut at its end.
+TEST_CASE("request of a stopping host, could be cut before its end, isn't "
+          "taken")
+{
+    using core::limits::ends_before_stop;
+    struct row
+    {
+        std::chrono::milliseconds until_stop, until_deadline, mean;
+        bool repeatable, taken;
+    };
+    const row rows[] = {
+        {7000ms, 5000ms, 700ms, false, true},
+        {3000ms, 5000ms, 700ms, false, true},
+        {2500ms, 5000ms, 700ms, false, false},
+        {2500ms, 5000ms, 700ms, true, true},
+        {1000ms, 5000ms, 700ms, true, false},
+        // Its deadline comes first.
+        {1000ms, 900ms, 700ms, false, true},
+        {0ms, 900ms, 700ms, true, false},
+        {-100ms, 900ms, 0ms, true, false},
+    };
+    for (const auto& each : rows)
+    {
+        CAPTURE(each.until_stop.count(), each.mean.count(), each.repeatable);
+        CHECK(
+            ends_before_stop({each.until_stop, each.until_deadline, each.mean},
+                             each.repeatable) == each.taken);
+    }
+}
--- a/tests/platform/online_path_test.cpp
+++ b/tests/platform/online_path_test.cpp
@@ -5,6 +5,12 @@
 #include <fstream>
 #include <thread>
 
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
 #include "platform_fleet.hpp"
 #include "raw_server.hpp"
 
@@ -402,6 +408,72 @@
     CHECK(this->runs("r1") == 1);
 }
 
+namespace
+{
+
+/// @brief A caller that uploads a request in two parts.
+class slow_upload
+{
+public:
+    slow_upload(const std::string& front, const std::string& path,
+                const std::string& id)
+    {
+        auto colon = front.find(':');
+        this->socket.connect(
+            {boost::asio::ip::make_address(front.substr(0, colon)),
+             static_cast<std::uint16_t>(std::stoi(front.substr(colon + 1)))});
+        this->write("POST " + path +
+                    " HTTP/1.1\r\nHost: app.example\r\nRequest-Id: " + id +
+                    "\r\nContent-Length: 4\r\n\r\nab");
+    }
+
+    /// @brief Sends the rest and returns all that comes until the connection's
+    /// end.
+    std::string finish()
+    {
+        this->write("cd");
+        std::string text;
+        boost::system::error_code error;
+        boost::asio::read(this->socket, boost::asio::dynamic_buffer(text),
+                          error);
+        return text;
+    }
+
+private:
+    void write(const std::string& text)
+    {
+        boost::asio::write(this->socket, boost::asio::buffer(text));
+    }
+
+    boost::asio::io_context loop;
+    boost::asio::ip::tcp::socket socket{this->loop};
+};
+
+} // namespace
+
+// Requests that came late in the grace were passed on and cut at its end, among
+// them some that may not be repeated.
+TEST_CASE_METHOD(
+    online_path,
+    "SIGTERM, request whose upload ends late in the grace time, is "
+    "refused as not run")
+{
+    this->switch_workers({{"events", 20}, {"event_ms", 100}});
+    REQUIRE(this->fleet.call(0, "POST", "/once/x", "first", "b").status == 200);
+    const auto& entry = this->fleet.entries[0];
+    slow_upload late(this->fleet.fronts[0], "/once/x", "late");
+    std::this_thread::sleep_for(100ms);
+    entry.process->signal(SIGTERM);
+    // Of the grace time of 8 s, requests have 7.2 s.
+    std::this_thread::sleep_for(6000ms);
+    auto answer = late.finish();
+    CHECK(answer.starts_with("HTTP/1.1 503"));
+    CHECK(answer.find("Retry-After") != answer.npos);
+    CHECK(answer.find("not run: stopping") != answer.npos);
+    CHECK(this->runs("late") == 0);
+    CHECK(entry.process->wait(8s) == 0);
+}
+
 TEST_CASE_METHOD(online_path, "a request's log line, tells what became of it")
 {
     this->switch_workers({{"cut", 1}});
