tests: Cut an endpoint's response at each byte

Operators of similar systems report a 200 with an empty or short body, framed as whole, where an endpoint stops in the middle of its response's head.

The test cuts three responses (length, chunks with extension and trailer, until close) at each byte and asks both clients.

--- a/tests/core/http_test.cpp
+++ b/tests/core/http_test.cpp
@@ -13,6 +13,7 @@
 
 #include "http/async_client.hpp"
 #include "http/async_server.hpp"
+#include "http/client.hpp"
 
 using namespace amaranthhatch;
 using namespace std::chrono_literals;
@@ -185,6 +186,35 @@
     CHECK(this->call(peer.address())->result == current_row.expected);
 }
 
+// Callers of other systems got a 200 with an empty or short body, framed as
+// whole, where an endpoint stopped in the middle of its response's head.
+TEST_CASE_METHOD(client_and_loop,
+                 "client, response cut at any byte, isn't complete")
+{
+    auto response =
+        GENERATE(std::string("HTTP/1.1 200 OK\r\nX-Id: mine\r\n"
+                             "Content-Length: 2\r\n\r\nok"),
+                 std::string("HTTP/1.1 200 OK\r\nX-Id: mine\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n"
+                             "2;a=b\r\nok\r\n0\r\nX-Trailer: 1\r\n\r\n"),
+                 std::string("HTTP/1.1 200 OK\r\nX-Id: mine\r\n"
+                             "Connection: close\r\n\r\n"));
+    for (std::size_t cut = 0; cut < response.size(); cut++)
+    {
+        INFO(response.substr(0, cut));
+        {
+            scripted_peer peer({response.substr(0, cut)}, true);
+            CHECK(this->call(peer.address())->result !=
+                  http::call_end::complete);
+        }
+        scripted_peer peer({response.substr(0, cut)}, true);
+        http::call outgoing;
+        outgoing.url = "http://" + peer.address() + "/x";
+        outgoing.total_limit = 3s;
+        CHECK(http::perform(outgoing).reached != http::progress::answered);
+    }
+}
+
 TEST_CASE_METHOD(client_and_loop, "client, nobody listens, returns not sent")
 {
     CHECK(this->call("127.0.0.1:1")->result == http::call_end::not_sent);
