batches: Keep an item's last event id through comments

Cause: item_run stored the last id of its own event splitter after each complete part of the stream; the splitter is new in each run and has no id before the run's first event. The next run was asked without Last-Event-Id and started over behind the events that had come.

Evidence: an endpoint of the test is asked with "", "2" and "" in three runs of one item. Ruled out: an endpoint that ignores the id, as it wasn't sent.

The id is stored once the run has sent one. Test: "item, its resumed run sends a comment and breaks off, goes on behind its last event" failed before (asked with "", "2", ""), passes ("", "2", "2", and each event once).

--- a/source/batches/item_run.cpp
+++ b/source/batches/item_run.cpp
@@ -121,7 +121,9 @@
                                progress.data.emplace_back(data);
                                this->event_count++;
                            });
-    progress.last_id = this->events.last_id();
+    // Empty while this run has sent comments only; earlier runs' events stay.
+    if (!this->events.last_id().empty())
+        progress.last_id = this->events.last_id();
 }
 
 bool item_run::stalled(core::instant now) const
--- a/tests/core/item_scheduler_test.cpp
+++ b/tests/core/item_scheduler_test.cpp
@@ -1,24 +1,30 @@
 #include <catch2/catch.hpp>
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include <boost/asio/ip/tcp.hpp>
+
 #include "batches/item_scheduler.hpp"
 #include "disk_fleet.hpp"
 #include "host/boot_clock.hpp"
+#include "http/async_server.hpp"
 
 using namespace amaranthhatch;
 using namespace std::chrono_literals;
 namespace model = core::batches;
 namespace routes = core::routes;
+using tcp = boost::asio::ip::tcp;
 
 namespace
 {
 
 constexpr std::chrono::milliseconds step_limit{5000};
 const std::string authority = "host.example";
+const std::string signature = "Signature";
 
 std::vector<std::uint64_t> no_parts(std::string_view)
 {
@@ -54,6 +60,12 @@
     scheduled_items()
     {
         forward::header_names names;
+        names.request_id = "Request-Id";
+        names.signature = signature;
+        names.target_instance = "Target";
+        names.not_run = "Not-Run";
+        names.leaving = "Leaving";
+        names.prompt = "Prompt";
         names.parse_prompt = no_parts;
         this->scheduler = std::make_unique<batches::item_scheduler>(
             this->runtime, this->agent, this->jobs, names);
@@ -258,3 +270,74 @@
     this->scheduler->schedule();
     CHECK(this->running_of("job") == 0);
 }
+
+namespace
+{
+
+/// @brief An endpoint of one slot whose runs are written by the test.
+struct resumed_items : scheduled_items
+{
+    using exchange_ptr = std::shared_ptr<http::server_exchange>;
+
+    resumed_items()
+    {
+        tcp::acceptor probe(
+            this->loop,
+            tcp::endpoint(boost::asio::ip::make_address_v4("127.0.0.1"), 0));
+        auto address =
+            "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+        probe.close();
+        this->server = std::make_unique<http::async_server>(
+            this->loop, address, [] { return http::server_limits(); },
+            [this](const exchange_ptr& exchange)
+            {
+                this->resumed_after.emplace_back(
+                    exchange->received_request().headers.get("Last-Event-Id"));
+                http::header_list headers;
+                headers.add(signature, "s");
+                exchange->begin(200, headers);
+                this->answer(*exchange, this->resumed_after.size());
+            });
+        auto endpoint = endpoint_of("service");
+        endpoint.address = address;
+        this->runtime.endpoints().replace({endpoint});
+        this->scheduler->apply(
+            table_of(1, {batch_route("/jobs", {{"service", 1}})}));
+    }
+
+    /// Writes the response of the run with this number, from 1 on.
+    std::function<void(http::server_exchange&, std::size_t run)> answer;
+    std::vector<std::string> resumed_after;
+    std::unique_ptr<http::async_server> server;
+};
+
+} // namespace
+
+// The id of the last event was lost, so that the next run started over and the
+// events that had come stood in the text twice.
+TEST_CASE_METHOD(resumed_items,
+                 "item, its resumed run sends a comment and breaks off, goes "
+                 "on behind its last event")
+{
+    this->answer = [](http::server_exchange& exchange, std::size_t run)
+    {
+        if (run == 1)
+            exchange.write("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+        else
+            exchange.write(": keep-alive\n\n");
+        if (run < 3)
+            return exchange.abort();
+        exchange.write("id: 3\ndata: c\n\n");
+        exchange.finish();
+    };
+    this->accept("job", "/jobs", 1);
+    REQUIRE(this->run_until(
+        [this]
+        {
+            this->scheduler->schedule();
+            return this->jobs.find("job")->finished_count() == 1;
+        },
+        step_limit));
+    CHECK(this->resumed_after == std::vector<std::string>{"", "2", "2"});
+    CHECK(this->jobs.find("job")->result_at(0).text == "a\nb\nc");
+}
