http: Keep reading a body after an interim response

Cause: response_ended was still true from the connection's previous response, so that the end of writing "100 Continue" ended the exchange and destroyed the parser that was reading the body.

Evidence: the test's handler sees "/first" and "/quoted" in place of "/second". Ruled out: a parser that takes bodies for pipelined requests, as the same request is right as the first one of a connection.

The state is reset before the interim response is written. Test: "HTTP/1.1 caller that expects 100 on a kept connection, its body isn't taken for a request" failed before, passes.

--- a/source/http/async_server.cpp
+++ b/source/http/async_server.cpp
@@ -215,6 +215,9 @@
         beast::iequals(this->reading->get()[beast::http::field::expect],
                        "100-continue"))
     {
+        // The end of the connection's previous response would else be taken for
+        // the end of this one.
+        this->response_ended = false;
         this->unsent += "HTTP/1.1 100 Continue\r\n\r\n";
         this->flush();
     }
--- a/tests/core/http10_test.cpp
+++ b/tests/core/http10_test.cpp
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -218,6 +219,29 @@
     CHECK(this->ask("ok").text.starts_with("HTTP/1.1 200"));
 }
 
+// The body was run as a request of its own, and the caller got its answer.
+TEST_CASE_METHOD(raw_callers,
+                 "HTTP/1.1 caller that expects 100 on a kept connection, its "
+                 "body isn't taken for a request")
+{
+    std::vector<std::string> seen;
+    this->handle = [&](const exchange_ptr& exchange)
+    {
+        const auto& request = exchange->received_request();
+        seen.push_back(request.path + " " + request.body);
+        exchange->respond(200, {}, "done");
+    };
+    const std::string quoted = "GET /quoted HTTP/1.1\r\nHost: h\r\n\r\n";
+    REQUIRE(this->ask("GET /first HTTP/1.1\r\nHost: h\r\n\r\n")
+                .text.starts_with("HTTP/1.1 200"));
+    auto got = this->ask("POST /second HTTP/1.1\r\nHost: h\r\n"
+                         "Expect: 100-continue\r\nContent-Length: " +
+                         std::to_string(quoted.size()) + "\r\n\r\n");
+    CHECK(got.text == "HTTP/1.1 100 Continue\r\n\r\n");
+    CHECK(this->ask(quoted).text.starts_with("HTTP/1.1 200"));
+    CHECK(seen == std::vector<std::string>{"/first ", "/second " + quoted});
+}
+
 TEST_CASE_METHOD(raw_callers,
                  "HEAD request, has no body, and the next response "
                  "of its connection is in its place")
