batches: Say plainly which answers of a copy an owner acts on

An answer that didn't come was handled as one from a wrong disk, which only reads right to somebody who knows that both are repeated. The two results that matter are now named; nothing else changes. Comments say what a pass does with a delayed item.

--- a/source/batches/item_scheduler.cpp
+++ b/source/batches/item_scheduler.cpp
@@ -374,7 +374,8 @@
         .has_value();
 }
 
-// Returns false if the service has no slot for the item.
+// Returns false if the service has no slot for the item. An item that is
+// delayed for another reason leaves the service to those after it.
 bool item_scheduler::start_item(const candidate& next, std::string_view service,
                                 core::instant now)
 {
--- a/source/batches/item_scheduler.hpp
+++ b/source/batches/item_scheduler.hpp
@@ -78,6 +78,7 @@
     /// @brief True if this host has read the configuration in which the job's
     /// route was found, or a later one: a route that is missing then has ended.
     bool knows_configuration_of(const core::batches::job& job) const;
+
     const core::routes::route_table* routes() const
     {
         return this->table.get();
--- a/source/batches/partition_owner.cpp
+++ b/source/batches/partition_owner.cpp
@@ -274,12 +274,11 @@
                            return;
                        auto response = body ? unpack_reconcile_response(*body)
                                             : std::nullopt;
-                       auto result = response
-                                         ? response->state.result
-                                         : append_response::status::wrong_disk;
-                       if (result == append_response::status::stored)
+                       using status = append_response::status;
+                       if (response && response->state.result == status::stored)
                            return self->on_marks(disk, *response);
-                       if (result == append_response::status::stale_epoch)
+                       if (response &&
+                           response->state.result == status::stale_epoch)
                            return self->on_later_epoch(response->state.epoch);
                        found->second.phase = copy_phase::unreconciled;
                        found->second.retry_at = host::boot_now() + retry_delay;
