tests: Wait for a partition's owner in one place

The same wait for an owner that serves, or has recovered, stood in seven tests of placements and items. It is now a step of their fixture, with the same limit of five seconds; no check is changed.

--- a/tests/core/disk_fleet.cpp
+++ b/tests/core/disk_fleet.cpp
@@ -20,6 +20,7 @@
 {
 
 constexpr std::chrono::milliseconds tick_interval{20};
+constexpr std::chrono::milliseconds owner_wait{5000};
 const std::string region = "region";
 
 std::string free_address()
@@ -211,6 +212,18 @@
     return true;
 }
 
+bool disk_fleet::wait_for_owner(const std::string& job,
+                                bool (batches::partition_owner::*state)() const)
+{
+    return this->run_until(
+        [&]
+        {
+            auto owner = this->agent.owner_of(job);
+            return owner && (*owner.*state)();
+        },
+        owner_wait);
+}
+
 model::record_ptr accepted_record(const std::string& job, std::uint64_t epoch)
 {
     auto content = std::make_shared<model::job>();
--- a/tests/core/disk_fleet.hpp
+++ b/tests/core/disk_fleet.hpp
@@ -127,6 +127,11 @@
     bool run_until(const std::function<bool()>& condition,
                    std::chrono::milliseconds limit);
 
+    /// @brief Runs all hosts until the owner of a job's partition is in a
+    /// state, such as serving; false if it isn't within five seconds.
+    bool wait_for_owner(const std::string& job,
+                        bool (batches::partition_owner::*state)() const);
+
     const std::string& owner_disk() const { return this->disk.identity(); }
 
     boost::asio::io_context loop;
--- a/tests/core/item_scheduler_test.cpp
+++ b/tests/core/item_scheduler_test.cpp
@@ -70,13 +70,8 @@
         this->scheduler = std::make_unique<batches::item_scheduler>(
             this->runtime, this->agent, this->jobs, names);
         this->start({this->owned_place({})});
-        REQUIRE(this->run_until(
-            [this]
-            {
-                auto owner = this->agent.owner_of("job");
-                return owner && owner->serving();
-            },
-            step_limit));
+        REQUIRE(
+            this->wait_for_owner("job", &batches::partition_owner::serving));
     }
 
     ~scheduled_items() { this->scheduler->stop(); }
--- a/tests/core/placement_agent_test.cpp
+++ b/tests/core/placement_agent_test.cpp
@@ -4,6 +4,7 @@
 
 using namespace amaranthhatch;
 using namespace std::chrono_literals;
+using batches::partition_owner;
 using tests::accepted_record;
 using tests::disk_fleet;
 
@@ -39,13 +40,7 @@
         1, this->second.disk(), 1, {this->second.disk(), this->first.disk()}};
     this->start({this->owned_place({this->first.disk()}), other});
     auto own_job = job_in(0, 2);
-    REQUIRE(this->run_until(
-        [&]
-        {
-            auto owner = this->agent.owner_of(own_job);
-            return owner && owner->serving();
-        },
-        step_limit));
+    REQUIRE(this->wait_for_owner(own_job, &partition_owner::serving));
 
     this->first.start(0);
     this->first.heard = true;
@@ -75,13 +70,7 @@
         1, this->second.disk(), 1, {this->second.disk(), this->first.disk()}};
     this->start({this->owned_place({this->first.disk()}), other});
     auto own_job = job_in(0, 2);
-    REQUIRE(this->run_until(
-        [&]
-        {
-            auto owner = this->agent.owner_of(own_job);
-            return owner && owner->serving();
-        },
-        step_limit));
+    REQUIRE(this->wait_for_owner(own_job, &partition_owner::serving));
     CHECK(this->jobs.find(job) == nullptr);
 }
 
@@ -98,13 +87,7 @@
     // doesn't receive the change.
     this->store.write_outcome = store::outcome::unknown;
     this->start({this->owned_place({this->first.disk(), this->second.disk()})});
-    REQUIRE(this->run_until(
-        [&]
-        {
-            auto owner = this->agent.owner_of("job");
-            return owner && owner->recovered();
-        },
-        step_limit));
+    REQUIRE(this->wait_for_owner("job", &partition_owner::recovered));
     this->first.heard = false;
     REQUIRE(this->run_until([&] { return !this->store.written.empty(); },
                             step_limit));
@@ -143,13 +126,7 @@
     auto place = this->owned_place({this->first.disk()});
     place.epoch = earlier_epoch + 1;
     this->start({place});
-    REQUIRE(this->run_until(
-        [&]
-        {
-            auto owner = this->agent.owner_of("job");
-            return owner && owner->serving();
-        },
-        step_limit));
+    REQUIRE(this->wait_for_owner("job", &partition_owner::serving));
     this->first.hold_appends = true;
     this->first.heard = true;
     REQUIRE(this->run_until([&] { return this->first.held_appends() == 1; },
@@ -180,13 +157,7 @@
     this->start(
         {this->owned_place({this->first.disk(), this->second.disk()}), other});
     auto own_job = job_in(0, 2);
-    REQUIRE(this->run_until(
-        [&]
-        {
-            auto owner = this->agent.owner_of(own_job);
-            return owner && owner->recovered();
-        },
-        step_limit));
+    REQUIRE(this->wait_for_owner(own_job, &partition_owner::recovered));
     this->store.hold_writes = true;
     this->first.heard = false;
     REQUIRE(this->run_until([&] { return !this->store.written.empty(); },
@@ -242,13 +213,7 @@
     this->first.jobs().set_partitions(1);
     this->first.heard = true;
     this->start({this->owned_place({this->first.disk()})});
-    REQUIRE(this->run_until(
-        [&]
-        {
-            auto owner = this->agent.owner_of("job");
-            return owner && owner->recovered();
-        },
-        step_limit));
+    REQUIRE(this->wait_for_owner("job", &partition_owner::recovered));
     auto owner = this->agent.owner_of("job");
     owner->add("job", {accepted_record("job", 1)});
     REQUIRE(this->run_until([&] { return owner->committed("job") == 1; },
