--- a/source/core/peers/beacon.hpp
+++ b/source/core/peers/beacon.hpp
@@ -49,6 +49,29 @@
     std::uint64_t tokens = 0;
 };
 
+/// @brief How many requests of a workspace were asked for and admitted.
+///
+/// Both counts only grow while the sender's process runs, so that lost and
+/// repeated beacons don't falsify them.
+struct usage
+{
+    /// Hash of the workspace's name.
+    std::uint64_t workspace = 0;
+    std::uint64_t asked = 0;
+    std::uint64_t admitted = 0;
+};
+
+/// @brief What the requests of one or more hosts showed of an endpoint.
+struct endpoint_evidence
+{
+    /// Hash of the endpoint's identifier, as in endpoint_load.
+    std::uint64_t endpoint = 0;
+    std::uint32_t failed = 0;
+    std::uint32_t answered = 0;
+    /// Time since the newest of these runs ended.
+    milliseconds age{};
+};
+
 /// @brief Whose loads a beacon holds.
 enum class beacon_scope : std::uint8_t
 {
@@ -100,6 +123,9 @@
     std::vector<backlog> backlogs;
     /// The sender's own and those that it has received.
     std::vector<quarantine::crash_report> crashes;
+    /// Counts of the hosts that the scope names.
+    std::vector<usage> usages;
+    std::vector<endpoint_evidence> evidence;
 };
 
 } // namespace amaranthhatch::core::peers
--- a/source/peers/packing.cpp
+++ b/source/peers/packing.cpp
@@ -15,7 +15,7 @@
 
 // Must change with the fields of packed_beacon, so that hosts of different
 // releases ignore each other's beacons instead of misreading them.
-constexpr std::uint32_t beacon_format = 5;
+constexpr std::uint32_t beacon_format = 6;
 // Bounds how long an unreadable or hostile beacon makes its sender look alive.
 constexpr core::milliseconds longest_interval{5000};
 // Older reports of crashes count nowhere.
@@ -66,6 +66,23 @@
     MSGPACK_DEFINE(wall_ms, reports)
 };
 
+struct packed_usage
+{
+    std::uint64_t workspace = 0;
+    std::uint64_t asked = 0;
+    std::uint64_t admitted = 0;
+    MSGPACK_DEFINE(workspace, asked, admitted)
+};
+
+struct packed_evidence
+{
+    std::uint64_t endpoint = 0;
+    std::uint32_t failed = 0;
+    std::uint32_t answered = 0;
+    std::int64_t age_ms = 0;
+    MSGPACK_DEFINE(endpoint, failed, answered, age_ms)
+};
+
 struct packed_beacon
 {
     std::uint32_t version = 0;
@@ -86,9 +103,12 @@
     std::vector<packed_pair> copies;
     std::vector<packed_pair> backlogs;
     std::vector<packed_crash> crashes;
+    std::vector<packed_usage> usages;
+    std::vector<packed_evidence> evidence;
     MSGPACK_DEFINE(version, name, incarnation, sent_ms, address, zone, region,
                    disk, capacity, next_within_ms, leaving, store_unreachable,
-                   scope, echoes, loads, copies, backlogs, crashes)
+                   scope, echoes, loads, copies, backlogs, crashes, usages,
+                   evidence)
 };
 
 struct packed_entry
@@ -175,6 +195,11 @@
         packed.backlogs.push_back({backlog.route, backlog.tokens});
     for (const auto& crash : beacon.crashes)
         packed.crashes.push_back(to_packed(crash));
+    for (const auto& usage : beacon.usages)
+        packed.usages.push_back({usage.workspace, usage.asked, usage.admitted});
+    for (const auto& each : beacon.evidence)
+        packed.evidence.push_back(
+            {each.endpoint, each.failed, each.answered, each.age.count()});
     return to_bytes(packed);
 }
 
@@ -218,6 +243,12 @@
         beacon.backlogs.push_back({backlog.first, backlog.second});
     for (const auto& crash : packed->crashes)
         beacon.crashes.push_back(from_packed(crash));
+    for (const auto& usage : packed->usages)
+        beacon.usages.push_back({usage.workspace, usage.asked, usage.admitted});
+    for (const auto& each : packed->evidence)
+        beacon.evidence.push_back({each.endpoint, each.failed, each.answered,
+                                   core::milliseconds(std::clamp<std::int64_t>(
+                                       each.age_ms, 0, longest_age.count()))});
     return beacon;
 }
 
