workspaces: Require a key of a declared workspace, on requests and jobs

The endpoint gets the workspace's name. Jobs belong to the workspace that submitted them and aren't there for others; the limit of waiting tokens is each workspace's. Hosts whose settings say that they fail closed refuse keys once neither the store nor a beacon has confirmed their configuration within the revocation limit. The declarations of the OpenAI-style interface use the same type.

--- a/source/batches/batch_client.cpp
+++ b/source/batches/batch_client.cpp
@@ -127,10 +127,19 @@
     this->send(std::move(pending));
 }
 
-void batch_client::read(const std::string& job, std::uint32_t after,
-                        core::milliseconds wait, read_callback done)
+void batch_client::add_visibility(pending_request& pending,
+                                  const visibility& visible)
+{
+    if (visible)
+        pending.http.headers.add(workspace_header, *visible);
+}
+
+void batch_client::read(const std::string& job, const visibility& visible,
+                        std::uint32_t after, core::milliseconds wait,
+                        read_callback done)
 {
     auto pending = std::make_shared<pending_request>();
+    add_visibility(*pending, visible);
     pending->retry_deadline = host::boot_now() + read_retry_limit;
     pending->job = job;
     pending->http.target = "/jobs/" + job +
@@ -150,10 +159,11 @@
     this->send(std::move(pending));
 }
 
-void batch_client::read_body(const std::string& job, const std::string& item,
-                             body_callback done)
+void batch_client::read_body(const std::string& job, const visibility& visible,
+                             const std::string& item, body_callback done)
 {
     auto pending = std::make_shared<pending_request>();
+    add_visibility(*pending, visible);
     pending->retry_deadline = host::boot_now() + read_retry_limit;
     pending->job = job;
     pending->http.target = "/jobs/" + job + "/body?item=" + item;
@@ -163,9 +173,11 @@
     this->send(std::move(pending));
 }
 
-void batch_client::end(const std::string& job, outcome_callback done)
+void batch_client::end(const std::string& job, const visibility& visible,
+                       outcome_callback done)
 {
     auto pending = std::make_shared<pending_request>();
+    add_visibility(*pending, visible);
     pending->retry_deadline = host::boot_now() + read_retry_limit;
     pending->job = job;
     pending->http.method = "DELETE";
--- a/source/batches/batch_client.hpp
+++ b/source/batches/batch_client.hpp
@@ -39,23 +39,30 @@
 
     explicit batch_client(host::host_runtime& runtime);
 
+    /// Whose jobs a caller may see: those of a workspace and those that belong
+    /// to none; nothing: all.
+    using visibility = std::optional<std::string>;
+
     void submit(const core::batches::job& job, outcome_callback done);
 
     /// @brief Requests the results of a job that follow the first `after` ones.
     ///
     /// If there are none yet and the job isn't complete, the owner waits for
     /// up to `wait` for new results before it responds.
-    void read(const std::string& job, std::uint32_t after,
-              core::milliseconds wait, read_callback done);
-    void read_body(const std::string& job, const std::string& item,
-                   body_callback done);
-    void end(const std::string& job, outcome_callback done);
+    void read(const std::string& job, const visibility& visible,
+              std::uint32_t after, core::milliseconds wait, read_callback done);
+    void read_body(const std::string& job, const visibility& visible,
+                   const std::string& item, body_callback done);
+    void end(const std::string& job, const visibility& visible,
+             outcome_callback done);
 
 private:
     struct pending_request;
     using response_callback =
         std::function<void(job_outcome, const std::string& body)>;
 
+    static void add_visibility(pending_request& pending,
+                               const visibility& visible);
     const core::peers::peer* owner_of(const std::string& job);
     void send(std::shared_ptr<pending_request> pending);
     void retry(std::shared_ptr<pending_request> pending,
--- a/source/batches/batch_service.cpp
+++ b/source/batches/batch_service.cpp
@@ -160,6 +160,8 @@
         return exchange->respond(421, {}, "not the owner\n");
     const auto* log = this->jobs.find(job->id);
     bool already_stored = log != nullptr && log->submitted() != nullptr;
+    if (already_stored && log->submitted()->workspace != job->workspace)
+        return this->refuse(*job, *exchange, 404, "job of another workspace");
     if (already_stored && owner->committed(job->id) > 0)
         return exchange->respond(202, {}, {});
     if (!already_stored)
@@ -199,6 +201,7 @@
                                            reason);
     logging::event(logging::level::warning, "job_refused")
         .with("job", job.id)
+        .with("workspace", job.workspace)
         .with("status", status)
         .with("reason", reason)
         .with("epoch", owner ? static_cast<std::int64_t>(owner->epoch()) : -1)
@@ -215,9 +218,9 @@
     for (const auto& item : job.items)
         job_tokens += item.tokens;
     auto now = host::boot_now();
-    auto queued_tokens =
-        this->scheduler.backlog_tokens(route->name) +
-        this->runtime.peers().backlog_tokens(core::hash(route->name), now);
+    auto key = item_scheduler::backlog_key(*route, job.workspace);
+    auto queued_tokens = this->scheduler.backlog_tokens(key) +
+                         this->runtime.peers().backlog_tokens(key, now);
     return queued_tokens + job_tokens > route->backlog_tokens;
 }
 
@@ -230,6 +233,7 @@
     auto id = job.id;
     logging::event(logging::level::info, "job_submitted")
         .with("job", id)
+        .with("workspace", job.workspace)
         .with("items", static_cast<std::int64_t>(job.items.size()))
         .with("epoch", static_cast<std::int64_t>(owner->epoch()));
     record->accepted = std::make_shared<const model::job>(std::move(job));
@@ -286,9 +290,27 @@
     return owner;
 }
 
+bool batch_service::check_visible(const std::string& job,
+                                  http::server_exchange& exchange) const
+{
+    const auto* log = this->jobs.find(job);
+    if (log == nullptr || log->submitted() == nullptr)
+        return true;
+    const auto& owner = log->submitted()->workspace;
+    for (const auto& header : exchange.received_request().headers.all())
+        if (http::header_list::same_name(header.name, workspace_header) &&
+            !owner.empty() && header.value != owner)
+        {
+            exchange.respond(404, {}, "no such job\n");
+            return false;
+        }
+    return true;
+}
+
 void batch_service::read(const std::string& job, const exchange_ptr& exchange)
 {
-    if (!this->owner_for_reading(job, *exchange))
+    if (!this->owner_for_reading(job, *exchange) ||
+        !this->check_visible(job, *exchange))
         return;
     const auto& request = exchange->received_request();
     auto after = static_cast<std::uint32_t>(
@@ -341,7 +363,8 @@
 void batch_service::read_body(const std::string& job,
                               const exchange_ptr& exchange)
 {
-    if (!this->owner_for_reading(job, *exchange))
+    if (!this->owner_for_reading(job, *exchange) ||
+        !this->check_visible(job, *exchange))
         return;
     const auto* log = this->jobs.find(job);
     if (log == nullptr || log->submitted() == nullptr)
@@ -356,7 +379,7 @@
 void batch_service::end(const std::string& job, const exchange_ptr& exchange)
 {
     auto owner = this->owner_for_reading(job, *exchange);
-    if (!owner)
+    if (!owner || !this->check_visible(job, *exchange))
         return;
     const auto* log = this->jobs.find(job);
     if (log == nullptr || log->submitted() == nullptr)
--- a/source/batches/batch_service.hpp
+++ b/source/batches/batch_service.hpp
@@ -86,6 +86,10 @@
                               bool respond_if_empty);
     std::shared_ptr<partition_owner>
     owner_for_reading(std::string_view job, http::server_exchange& exchange);
+    /// @brief True if the sender of a call may see the job; answers the call if
+    /// not, as if there were no such job.
+    bool check_visible(const std::string& job,
+                       http::server_exchange& exchange) const;
     void on_commit(const std::string& job);
     void expire_waiting_requests();
     void expire_jobs();
--- a/source/batches/item_run.cpp
+++ b/source/batches/item_run.cpp
@@ -40,6 +40,23 @@
                     scheduler.shared_parts(content)};
 }
 
+// True for headers of the item that the endpoint doesn't get, or gets with
+// another value.
+bool item_run::is_replaced(std::string_view header) const
+{
+    const auto& names = this->scheduler.names;
+    auto is = [header](std::string_view name)
+    { return http::header_list::same_name(header, name); };
+    const auto* table = this->scheduler.routes();
+    bool keys_required =
+        table != nullptr && table->workspaces().keys_required();
+    bool has_workspace = !this->accepted_record->accepted->workspace.empty();
+    if ((keys_required || has_workspace) &&
+        (is(names.credentials) || is(names.workspace)))
+        return true;
+    return is(names.request_id) || is("Host");
+}
+
 void item_run::start()
 {
     const auto& names = this->scheduler.names;
@@ -51,9 +68,11 @@
     request.headers.add("Host", this->authority);
     request.headers.add(names.request_id, this->content.id);
     for (const auto& [name, value] : this->content.headers)
-        if (!http::header_list::same_name(name, names.request_id) &&
-            !http::header_list::same_name(name, "Host"))
+        if (!this->is_replaced(name))
             request.headers.add(name, value);
+    const auto& workspace = this->accepted_record->accepted->workspace;
+    if (!workspace.empty())
+        request.headers.add(names.workspace, workspace);
     request.headers.add(names.target_instance, this->endpoint_id);
     if (!previous.last_id.empty())
         request.headers.add("Last-Event-Id", previous.last_id);
--- a/source/batches/item_run.hpp
+++ b/source/batches/item_run.hpp
@@ -83,6 +83,7 @@
     bool ended_stalled() const { return this->has_stalled; }
 
 private:
+    bool is_replaced(std::string_view header) const;
     void abandon_call(std::string_view reason);
     void end_over_limit(std::string_view reason);
     void drop_events(std::string_view reason);
--- a/source/batches/item_scheduler.cpp
+++ b/source/batches/item_scheduler.cpp
@@ -104,6 +104,13 @@
     return entry->second;
 }
 
+std::uint64_t item_scheduler::backlog_key(const core::routes::route& route,
+                                          std::string_view workspace)
+{
+    auto of_route = core::hash(route.name);
+    return workspace.empty() ? of_route : core::hash(workspace, of_route);
+}
+
 std::vector<core::peers::backlog> item_scheduler::backlogs() const
 {
     std::map<std::uint64_t, std::uint64_t> sums;
@@ -115,19 +122,20 @@
                                     ? nullptr
                                     : this->route_of(*log->submitted());
             if (route != nullptr)
-                sums[core::hash(route->name)] += log->open_tokens();
+                sums[backlog_key(*route, log->submitted()->workspace)] +=
+                    log->open_tokens();
         }
     std::vector<core::peers::backlog> out;
-    for (const auto& [route, tokens] : sums)
+    for (const auto& [key, tokens] : sums)
         if (tokens > 0)
-            out.push_back({route, tokens});
+            out.push_back({key, tokens});
     return out;
 }
 
-std::uint64_t item_scheduler::backlog_tokens(std::string_view route) const
+std::uint64_t item_scheduler::backlog_tokens(std::uint64_t key) const
 {
     for (const auto& backlog : this->backlogs())
-        if (backlog.route == core::hash(route))
+        if (backlog.key == key)
             return backlog.tokens;
     return 0;
 }
--- a/source/batches/item_scheduler.hpp
+++ b/source/batches/item_scheduler.hpp
@@ -71,11 +71,17 @@
     /// @brief Interrupts all runs and starts no more, as the process stops.
     void stop();
 
-    /// @brief Tokens of this host's open items by route, for the beacon.
+    /// @brief The number by which beacons name a route and, for jobs of a
+    /// workspace, that workspace.
+    static std::uint64_t backlog_key(const core::routes::route& route,
+                                     std::string_view workspace);
+
+    /// @brief Tokens of this host's open items by route and workspace, for the
+    /// beacon.
     std::vector<core::peers::backlog> backlogs() const;
 
-    /// @brief Tokens of this host's open items on one route.
-    std::uint64_t backlog_tokens(std::string_view route) const;
+    /// @brief Tokens of this host's open items under one key.
+    std::uint64_t backlog_tokens(std::uint64_t key) const;
 
     const core::routes::route* route_of(const core::batches::job& job) const;
 
--- a/source/batches/records.cpp
+++ b/source/batches/records.cpp
@@ -36,10 +36,11 @@
     std::string path;
     std::int64_t submitted_ms = 0;
     std::vector<packed_item> items;
-    // Earlier releases don't send it, and ignore it.
+    // Earlier releases don't send these, and ignore them.
     std::uint64_t configuration_version = 0;
+    std::string workspace;
     MSGPACK_DEFINE(id, authority, path, submitted_ms, items,
-                   configuration_version)
+                   configuration_version, workspace)
 };
 
 struct packed_record
@@ -122,9 +123,10 @@
 
 packed_job to_packed(const model::job& job)
 {
-    packed_job packed{job.id,   job.authority,
-                      job.path, job.submitted_ms,
-                      {},       job.configuration_version};
+    packed_job packed{job.id,       job.authority,
+                      job.path,     job.submitted_ms,
+                      {},           job.configuration_version,
+                      job.workspace};
     for (const auto& item : job.items)
         packed.items.push_back(
             {item.id, item.target, item.headers, item.body, item.tokens});
@@ -139,6 +141,7 @@
     job.path = std::move(packed.path);
     job.submitted_ms = packed.submitted_ms;
     job.configuration_version = packed.configuration_version;
+    job.workspace = std::move(packed.workspace);
     for (auto& item : packed.items)
         job.items.push_back({std::move(item.id), std::move(item.target),
                              std::move(item.headers), std::move(item.body),
--- a/source/batches/records.hpp
+++ b/source/batches/records.hpp
@@ -14,6 +14,10 @@
 namespace amaranthhatch::batches
 {
 
+/// The header of calls between hosts that names the only workspace whose jobs
+/// the caller may see.
+inline constexpr std::string_view workspace_header = "Workspace";
+
 /// @brief Records of one job that are sent to a copy or written to a disk.
 struct job_append
 {
--- a/source/core/batches/job_log.hpp
+++ b/source/core/batches/job_log.hpp
@@ -35,6 +35,9 @@
     /// Version of the configuration that the entry matched the job's route in;
     /// 0 in jobs of releases that didn't record it.
     std::uint64_t configuration_version = 0;
+    /// The workspace that the job belongs to; empty: none, so that any caller
+    /// may see it.
+    std::string workspace;
 };
 
 /// @brief Type of a record in a job's log.
--- a/source/core/configuration/declarations.hpp
+++ b/source/core/configuration/declarations.hpp
@@ -7,6 +7,7 @@
 
 #include "core/instant.hpp"
 #include "core/messages/slots.hpp"
+#include "core/workspaces/workspace.hpp"
 
 namespace amaranthhatch::core::configuration
 {
@@ -45,12 +46,8 @@
     bool repeatable = true;
 };
 
-/// @brief A customer's workspace; undeclared workspaces get default limits.
-struct workspace
-{
-    std::string name;
-    std::uint32_t max_concurrent = 0;
-};
+/// @brief Undeclared workspaces get default limits.
+using workspaces::workspace;
 
 /// @brief The operators' declarations of one revision.
 struct declarations
--- a/source/core/peers/beacon.hpp
+++ b/source/core/peers/beacon.hpp
@@ -41,11 +41,12 @@
     std::uint64_t as_of = 0;
 };
 
-/// @brief Tokens of unfinished batch items that one host owns on a route.
+/// @brief Tokens of unfinished batch items that one host owns on a route, of
+/// one workspace if the jobs belong to any.
 struct backlog
 {
-    /// Hash of the route's name.
-    std::uint64_t route = 0;
+    /// Hash of the names of the route and the workspace.
+    std::uint64_t key = 0;
     std::uint64_t tokens = 0;
 };
 
@@ -113,6 +114,9 @@
     bool leaving = false;
     /// True while the sender gets no response from the store.
     bool store_unreachable = false;
+    /// Time since the store last confirmed the sender's configuration, to it or
+    /// to a host that has told it; negative where no host needs to know.
+    milliseconds configuration_age{-1};
     beacon_scope scope = beacon_scope::host;
     /// In sums over all zones: the receiver's own clock when it sent the loads
     /// of its own that the sums contain; 0 where they contain none.
--- a/source/core/peers/peer_table.cpp
+++ b/source/core/peers/peer_table.cpp
@@ -459,16 +459,16 @@
     return found == loads.end() ? endpoint_load{endpoint, 0, 0} : found->second;
 }
 
-std::uint64_t peer_table::backlog_tokens(std::uint64_t route, instant now) const
+std::uint64_t peer_table::backlog_tokens(std::uint64_t key, instant now) const
 {
     std::uint64_t total = 0;
     for (const auto& [name, entry] : this->peers)
     {
         if (!this->alive(entry, now))
             continue;
-        for (const auto& route_backlog : entry.backlogs)
-            if (route_backlog.route == route)
-                total += route_backlog.tokens;
+        for (const auto& backlog : entry.backlogs)
+            if (backlog.key == key)
+                total += backlog.tokens;
     }
     return total;
 }
--- a/source/core/peers/peer_table.hpp
+++ b/source/core/peers/peer_table.hpp
@@ -150,8 +150,8 @@
     std::uint64_t view_number() const { return this->view_count; }
 
     /// @brief Sum of the tokens of unfinished batch items that other live hosts
-    /// own on a route.
-    std::uint64_t backlog_tokens(std::uint64_t route, instant now) const;
+    /// own under a key.
+    std::uint64_t backlog_tokens(std::uint64_t key, instant now) const;
 
     /// @brief Removes loads older than load_expiry; to be called often.
     void expire_loads(instant now);
--- a/source/core/routes/route_table.cpp
+++ b/source/core/routes/route_table.cpp
@@ -6,9 +6,11 @@
 {
 
 route_table::route_table(std::uint64_t version, std::vector<route> routes,
-                         std::vector<service> services, caller_limits limits)
+                         std::vector<service> services, caller_limits limits,
+                         workspaces::workspace_table declared)
     : current_version(version), all_routes(std::move(routes)),
-      services(std::move(services)), current_limits(limits)
+      services(std::move(services)), current_limits(limits),
+      declared_workspaces(std::move(declared))
 {
     for (std::size_t index = 0; index < this->all_routes.size(); index++)
         this->by_authority[this->all_routes[index].authority].push_back(index);
--- a/source/core/routes/route_table.hpp
+++ b/source/core/routes/route_table.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "core/instant.hpp"
+#include "core/workspaces/workspace_table.hpp"
 
 namespace amaranthhatch::core::routes
 {
@@ -57,7 +58,10 @@
     /// Lower ranks are served first.
     std::uint32_t rank = 0;
     bool resumable = false;
-    /// Limit on the tokens of the route's unfinished items; 0: no limit.
+    /// True if callers need no key.
+    bool allows_anonymous = false;
+    /// Limit on the tokens of the route's unfinished items, for each workspace
+    /// if the configuration has workspaces; 0: no limit.
     std::uint64_t backlog_tokens = 0;
 };
 
@@ -84,7 +88,8 @@
 public:
     route_table() = default;
     route_table(std::uint64_t version, std::vector<route> routes,
-                std::vector<service> services, caller_limits limits);
+                std::vector<service> services, caller_limits limits,
+                workspaces::workspace_table declared = {});
 
     std::uint64_t version() const { return this->current_version; }
     const caller_limits& limits() const { return this->current_limits; }
@@ -95,12 +100,17 @@
 
     const service* find_service(std::string_view name) const;
     const std::vector<route>& routes() const { return this->all_routes; }
+    const workspaces::workspace_table& workspaces() const
+    {
+        return this->declared_workspaces;
+    }
 
 private:
     std::uint64_t current_version = 0;
     std::vector<route> all_routes;
     std::vector<service> services;
     caller_limits current_limits;
+    workspaces::workspace_table declared_workspaces;
     /// Indexes into all_routes for each authority, longest prefix first.
     std::map<std::string, std::vector<std::size_t>, std::less<>> by_authority;
 };
--- a/source/forward/header_names.hpp
+++ b/source/forward/header_names.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -33,6 +34,15 @@
     /// share, in order.
     std::vector<std::uint64_t> (*parse_prompt)(std::string_view value) =
         nullptr;
+    /// Bears the key of a caller's workspace.
+    std::string credentials;
+    /// Parses the value of that header; nothing if it isn't well-formed.
+    std::optional<std::string_view> (*parse_key)(std::string_view value) =
+        nullptr;
+    /// The scheme of that header, which a 401 response asks for.
+    std::string credentials_scheme;
+    /// Tells the endpoint the name of the caller's workspace.
+    std::string workspace;
 };
 
 } // namespace amaranthhatch::forward
--- a/source/forward/online_request.cpp
+++ b/source/forward/online_request.cpp
@@ -72,10 +72,11 @@
     host::host_runtime& runtime, const header_names& names,
     std::shared_ptr<const core::routes::route_table> table,
     const core::routes::route& matched,
+    const core::workspaces::workspace* workspace,
     std::shared_ptr<http::server_exchange> exchange)
     : runtime(runtime), names(names), table(std::move(table)), route(matched),
-      exchange(std::move(exchange)), timer(runtime.event_loop()),
-      retry_timer(runtime.event_loop()),
+      workspace(workspace), exchange(std::move(exchange)),
+      timer(runtime.event_loop()), retry_timer(runtime.event_loop()),
       request_id(
           this->exchange->received_request().headers.get(names.request_id)),
       service(core::routes::select_service(matched, host::uniform())),
@@ -205,6 +206,28 @@
         });
 }
 
+std::string_view online_request::workspace_name() const
+{
+    return this->workspace == nullptr ? std::string_view()
+                                      : this->workspace->name;
+}
+
+// True for headers of the caller that the endpoint doesn't get, or gets with
+// another value.
+bool online_request::is_replaced(std::string_view header) const
+{
+    auto is = [header](std::string_view name)
+    { return http::header_list::same_name(header, name); };
+    if (is(this->names.deadline) || is(this->names.target_instance) ||
+        is("Expect"))
+        return true;
+    // The key is for this system only, and no caller names its own workspace.
+    if (this->table->workspaces().keys_required() &&
+        (is(this->names.credentials) || is(this->names.workspace)))
+        return true;
+    return !this->events.last_id().empty() && is("Last-Event-Id");
+}
+
 http::client_request
 online_request::compose_request(const core::endpoints::endpoint& chosen) const
 {
@@ -213,16 +236,10 @@
     forwarded.method = request.method;
     forwarded.target = request.target;
     for (const auto& header : request.headers.all())
-    {
-        bool replaced =
-            http::header_list::same_name(header.name, names.deadline) ||
-            http::header_list::same_name(header.name, names.target_instance) ||
-            http::header_list::same_name(header.name, "Expect") ||
-            (!this->events.last_id().empty() &&
-             http::header_list::same_name(header.name, "Last-Event-Id"));
-        if (!replaced)
+        if (!this->is_replaced(header.name))
             forwarded.headers.add(header.name, header.value);
-    }
+    if (this->workspace != nullptr)
+        forwarded.headers.add(names.workspace, this->workspace->name);
     auto time_left = this->deadline - host::boot_now();
     forwarded.headers.add(names.deadline, std::to_string(time_left.count()));
     forwarded.headers.add(names.target_instance, chosen.id);
@@ -659,6 +676,7 @@
     logging::event(logging::level::info, "request")
         .with("id", this->request_id)
         .with("route", this->route.name)
+        .with("workspace", this->workspace_name())
         .with("config", static_cast<std::int64_t>(this->table->version()))
         .with("endpoint", this->last_endpoint)
         .with("outcome", outcome)
--- a/source/forward/online_request.hpp
+++ b/source/forward/online_request.hpp
@@ -31,6 +31,7 @@
     online_request(host::host_runtime& runtime, const header_names& names,
                    std::shared_ptr<const core::routes::route_table> table,
                    const core::routes::route& matched,
+                   const core::workspaces::workspace* workspace,
                    std::shared_ptr<http::server_exchange> exchange);
 
     void start();
@@ -52,6 +53,8 @@
     void attempt();
     void attempt_later();
     void send_to(const core::endpoints::endpoint& chosen);
+    bool is_replaced(std::string_view header) const;
+    std::string_view workspace_name() const;
     http::client_request
     compose_request(const core::endpoints::endpoint& chosen) const;
     void record_event(core::instant now);
@@ -86,6 +89,8 @@
     const header_names& names;
     std::shared_ptr<const core::routes::route_table> table;
     const core::routes::route& route;
+    /// The caller's workspace, which the table holds; null without one.
+    const core::workspaces::workspace* workspace;
     std::shared_ptr<http::server_exchange> exchange;
     boost::asio::steady_timer timer;
     boost::asio::steady_timer retry_timer;
--- a/source/host/host_runtime.cpp
+++ b/source/host/host_runtime.cpp
@@ -121,6 +121,7 @@
           [this](const core::peers::beacon& received)
           {
               this->prompt_quarantine.receive(received);
+              this->record_confirmation(received);
               for (const auto& callback : this->beacon_listeners)
                   callback();
           }),
@@ -135,7 +136,7 @@
     };
     add_mirror({this->layout.configuration_prefix,
                 store::mirror_mode::watch,
-                watch_wait,
+                this->configuration_interval(),
                 {},
                 {},
                 {}});
@@ -228,6 +229,45 @@
     this->responses->set_limit(response_budget_bytes(changed));
     this->mirrors[static_cast<std::size_t>(mirrored_part::endpoints)]
         ->set_interval(endpoint_interval(this->current_settings));
+    this->mirrors[static_cast<std::size_t>(mirrored_part::configuration)]
+        ->set_interval(this->configuration_interval());
+}
+
+// A host that fails closed has to hear of the store within the revocation
+// limit, also where no configuration is written.
+core::milliseconds host_runtime::configuration_interval() const
+{
+    constexpr int reads_in_limit = 4;
+    if (!this->current_settings.fail_closed)
+        return watch_wait;
+    return std::min(watch_wait,
+                    this->current_settings.revocation_limit / reads_in_limit);
+}
+
+std::optional<core::milliseconds> host_runtime::configuration_age() const
+{
+    auto confirmed = this->mirror_of(mirrored_part::configuration).confirmed();
+    if (!confirmed ||
+        (this->confirmed_by_peers && *this->confirmed_by_peers > *confirmed))
+        confirmed = this->confirmed_by_peers;
+    if (!confirmed)
+        return std::nullopt;
+    return boot_now() - *confirmed;
+}
+
+// What the store confirmed to another host holds here if this host's copy has
+// every change of that one's.
+void host_runtime::record_confirmation(const core::peers::beacon& received)
+{
+    constexpr auto part =
+        static_cast<std::size_t>(mirrored_part::configuration);
+    if (received.configuration_age.count() < 0 ||
+        received.copies.size() != part_count ||
+        received.copies[part].changed > this->mirrors[part]->changed())
+        return;
+    auto confirmed = boot_now() - received.configuration_age;
+    if (!this->confirmed_by_peers || confirmed > *this->confirmed_by_peers)
+        this->confirmed_by_peers = confirmed;
 }
 
 void host_runtime::leave()
@@ -274,6 +314,9 @@
     beacon.store_unreachable =
         std::any_of(this->mirrors.begin(), this->mirrors.end(),
                     [](const auto& mirror) { return mirror->failing(); });
+    if (this->current_settings.fail_closed)
+        beacon.configuration_age =
+            this->configuration_age().value_or(core::milliseconds(-1));
     // An echo of another host's beacon grants that host a lease; only hosts
     // with a disk use leases.
     if (!this->disk_id.empty())
--- a/source/host/host_runtime.hpp
+++ b/source/host/host_runtime.hpp
@@ -101,6 +101,10 @@
     std::uint64_t incarnation() const { return this->own_incarnation; }
     boost::asio::io_context& event_loop() { return this->loop; }
     http::async_client& http_client() { return this->client; }
+    /// @brief Time since the store last confirmed this host's configuration, to
+    /// it or to a host that has told it; nothing if it never has. Only known
+    /// where the settings say that hosts fail closed.
+    std::optional<core::milliseconds> configuration_age() const;
     /// @brief The memory for responses that are read and not passed on.
     const std::shared_ptr<http::response_budget>& response_budget() const
     {
@@ -119,6 +123,8 @@
 
 private:
     core::peers::beacon compose_beacon();
+    void record_confirmation(const core::peers::beacon& received);
+    core::milliseconds configuration_interval() const;
     void handle_internal_call(std::shared_ptr<http::server_exchange> exchange);
     void respond_with_copy(http::server_exchange& exchange) const;
     void on_hosts_change();
@@ -174,6 +180,9 @@
     /// Time since which a peer has reported a newer copy of each part that this
     /// host hasn't received; zero: none.
     std::vector<core::instant> behind_since;
+    /// When the store last confirmed a configuration as new as this host's, by
+    /// the beacons of other hosts.
+    std::optional<core::instant> confirmed_by_peers;
     std::uint64_t lease = 0;
     std::size_t next_seed = 0;
     bool leaving = false;
--- a/source/host/host_settings.hpp
+++ b/source/host/host_settings.hpp
@@ -49,6 +49,12 @@
     core::milliseconds grace{};
     /// Time after its submission for which a job stays readable.
     core::milliseconds job_status{};
+    /// Whether a host refuses requests that need a key once its configuration
+    /// hasn't been confirmed for the revocation limit; else it goes on with the
+    /// keys that it knows.
+    bool fail_closed = false;
+    /// A withdrawn key is refused after this time.
+    core::milliseconds revocation_limit{};
     /// Retry-After of refusals for which no better estimate exists.
     core::milliseconds retry_after{};
 };
--- a/source/host/settings_change.cpp
+++ b/source/host/settings_change.cpp
@@ -20,7 +20,10 @@
     {"drain", &host_settings::drain},
     {"grace", &host_settings::grace},
     {"job_status", &host_settings::job_status},
+    {"revocation_limit", &host_settings::revocation_limit},
     {"retry_after", &host_settings::retry_after}};
+constexpr setting<bool> reloadable_flags[] = {
+    {"fail_closed", &host_settings::fail_closed}};
 constexpr setting<std::string> reloadable_texts[] = {
     {"store_address", &host_settings::store_address}};
 constexpr setting<std::vector<std::string>> reloadable_lists[] = {
@@ -68,6 +71,7 @@
 {
     settings_change result{in_force, {}, {}};
     apply(reloadable_times, reloaded, result);
+    apply(reloadable_flags, reloaded, result);
     apply(reloadable_texts, reloaded, result);
     apply(reloadable_lists, reloaded, result);
     apply(reloadable_sizes, reloaded, result);
--- a/source/packing/json_fields.cpp
+++ b/source/packing/json_fields.cpp
@@ -225,6 +225,18 @@
     return value.get<std::int64_t>();
 }
 
+double json_fields::real_or(std::string_view field, double most,
+                            double otherwise) const
+{
+    if (!this->contains(field))
+        return otherwise;
+    const auto& value = this->at(field);
+    double number = value.is_number() ? value.get<double>() : -1;
+    if (!(number >= 0 && number <= most))
+        throw wrong(field, "it must be a number of 0 or more");
+    return number;
+}
+
 const json& json_fields::list(std::string_view field) const
 {
     const auto& value = this->at(field);
--- a/source/packing/json_fields.hpp
+++ b/source/packing/json_fields.hpp
@@ -54,6 +54,9 @@
     std::int64_t number_or(std::string_view field, whole_range allowed,
                            std::int64_t otherwise) const;
 
+    /// @brief Reads a number of 0 or more, which may have a fraction.
+    double real_or(std::string_view field, double most, double otherwise) const;
+
     /// @brief Reads an array.
     const nlohmann::json& list(std::string_view field) const;
     /// @brief Reads an object.
--- a/source/peers/packing.cpp
+++ b/source/peers/packing.cpp
@@ -97,6 +97,7 @@
     std::int64_t next_within_ms = 0;
     bool leaving = false;
     bool store_unreachable = false;
+    std::int64_t configuration_age_ms = -1;
     std::uint8_t scope = 0;
     std::vector<packed_echo> echoes;
     std::vector<packed_load> loads;
@@ -107,8 +108,8 @@
     std::vector<packed_evidence> evidence;
     MSGPACK_DEFINE(version, name, incarnation, sent_ms, address, zone, region,
                    disk, capacity, next_within_ms, leaving, store_unreachable,
-                   scope, echoes, loads, copies, backlogs, crashes, usages,
-                   evidence)
+                   configuration_age_ms, scope, echoes, loads, copies, backlogs,
+                   crashes, usages, evidence)
 };
 
 struct packed_entry
@@ -184,6 +185,7 @@
     packed.next_within_ms = beacon.next_within.count();
     packed.leaving = beacon.leaving;
     packed.store_unreachable = beacon.store_unreachable;
+    packed.configuration_age_ms = beacon.configuration_age.count();
     packed.scope = static_cast<std::uint8_t>(beacon.scope);
     for (const auto& echo : beacon.echoes)
         packed.echoes.push_back({echo.peer, echo.incarnation, echo.sent_ms});
@@ -192,7 +194,7 @@
     for (const auto& copy : beacon.copies)
         packed.copies.push_back({copy.changed, copy.as_of});
     for (const auto& backlog : beacon.backlogs)
-        packed.backlogs.push_back({backlog.route, backlog.tokens});
+        packed.backlogs.push_back({backlog.key, backlog.tokens});
     for (const auto& crash : beacon.crashes)
         packed.crashes.push_back(to_packed(crash));
     for (const auto& usage : beacon.usages)
@@ -231,6 +233,8 @@
                                     core::milliseconds(0), longest_interval);
     beacon.leaving = packed->leaving;
     beacon.store_unreachable = packed->store_unreachable;
+    beacon.configuration_age = core::milliseconds(std::clamp<std::int64_t>(
+        packed->configuration_age_ms, -1, longest_age.count()));
     beacon.included_ms = included_ms;
     beacon.scope = static_cast<core::peers::beacon_scope>(packed->scope);
     for (const auto& echo : packed->echoes)
--- a/source/store/mirror.cpp
+++ b/source/store/mirror.cpp
@@ -244,6 +244,7 @@
 
 void mirror::record_success()
 {
+    this->confirmed_at = host::boot_now();
     if (this->failures == 0)
         return;
     // The time without data ends with a copy from another host, as entries in
--- a/source/store/mirror.hpp
+++ b/source/store/mirror.hpp
@@ -105,6 +105,12 @@
     /// @brief True while this host's calls to the store fail.
     bool failing() const { return this->failures > 0; }
 
+    /// @brief When the store last answered a read; nothing if it never has.
+    const std::optional<core::instant>& confirmed() const
+    {
+        return this->confirmed_at;
+    }
+
     /// @brief The time for which this host has read the store without a
     /// failure; nothing if it doesn't read it.
     const std::optional<read_span>& reads() const { return this->read_times; }
@@ -140,6 +146,7 @@
     core::instant replaced_at{};
     core::instant list_began{};
     std::optional<read_span> read_times;
+    std::optional<core::instant> confirmed_at;
     int failures = 0;
     core::instant failing_since{};
     /// Keys of entries that are retained although the store doesn't list them,
--- a/tests/core/response_memory_test.cpp
+++ b/tests/core/response_memory_test.cpp
@@ -146,8 +146,7 @@
         names.parse_prompt = no_parts;
         this->router = std::make_unique<forward::online_router>(
             this->runtime, names,
-            [](const std::shared_ptr<http::server_exchange>&, std::uint64_t) {
-            });
+            [](const forward::online_router::batch_request&) {});
         tcp::acceptor probe(
             this->loop,
             tcp::endpoint(boost::asio::ip::make_address_v4("127.0.0.1"), 0));
--- a/tests/platform/endless_peer_test.cpp
+++ b/tests/platform/endless_peer_test.cpp
@@ -181,17 +181,17 @@
     }
     SECTION("end")
     {
-        jobs.end("job", hears);
+        jobs.end("job", {}, hears);
     }
     SECTION("read")
     {
         limit = this->settings.response_bytes;
-        jobs.read("job", 0, 0ms, hears);
+        jobs.read("job", {}, 0, 0ms, hears);
     }
     SECTION("body of an item")
     {
         limit = this->settings.response_bytes;
-        jobs.read_body("job", "item", hears);
+        jobs.read_body("job", {}, "item", hears);
     }
     CHECK(this->run_until([&] { return ended != batches::job_outcome::done; }));
     CHECK(ended == batches::job_outcome::unknown);
--- a/tests/platform/platform_fleet.cpp
+++ b/tests/platform/platform_fleet.cpp
@@ -73,8 +73,10 @@
 } // namespace
 
 platform_fleet::platform_fleet(int entry_count, int batch_count,
-                               int worker_count, program_memory memory)
-    : configuration(first_configuration()), memory(memory)
+                               int worker_count, program_memory memory,
+                               std::string bounds)
+    : configuration(first_configuration()), bounds(std::move(bounds)),
+      memory(memory)
 {
     std::string pattern =
         (std::filesystem::temp_directory_path() / "hatch-XXXXXX").string();
@@ -155,7 +157,8 @@
     out << "[tolerate]\nmachines = 1\n"
         << "[bounds]\ndrain_ms = 1500\ngrace_s = 8\nconfig_apply_ms = 2500\n"
         << "retry_after_s = 0\nstatus_s = 120\nquota_overshoot = 0.1\n"
-        << "[platform]\naddress = \"" << this->store.address << "\"\n";
+        << this->bounds << "[platform]\naddress = \"" << this->store.address
+        << "\"\n";
 }
 
 void platform_fleet::configure(const std::function<void(json&)>& change)
@@ -290,9 +293,11 @@
     return json{{"items", items}}.dump();
 }
 
-json platform_fleet::results(std::size_t entry, const std::string& job) const
+json platform_fleet::results(std::size_t entry, const std::string& job,
+                             const std::vector<http::header>& headers) const
 {
-    auto reply = this->call(entry, "GET", "/lots/" + job + "?after=0", "", "");
+    auto reply =
+        this->call(entry, "GET", "/lots/" + job + "?after=0", "", "", headers);
     return reply.status == 200 ? json::parse(reply.body) : json();
 }
 
--- a/tests/platform/platform_fleet.hpp
+++ b/tests/platform/platform_fleet.hpp
@@ -24,7 +24,7 @@
 {
 public:
     platform_fleet(int entries, int batch_hosts, int workers,
-                   program_memory memory = {});
+                   program_memory memory = {}, std::string bounds = "");
     ~platform_fleet();
 
     /// @brief Starts everything and waits until the entries are ready.
@@ -59,7 +59,8 @@
                                 const std::string& prompt = "");
 
     /// @brief Reads all results; empty where the answer isn't 200.
-    nlohmann::json results(std::size_t entry, const std::string& job) const;
+    nlohmann::json results(std::size_t entry, const std::string& job,
+                           const std::vector<http::header>& headers = {}) const;
 
     /// @brief The lines that a node wrote to its standard output.
     std::string log_of(const fleet::node& node) const;
@@ -72,6 +73,8 @@
     std::vector<std::string> ready;
     nlohmann::json configuration;
     std::string folder;
+    /// Further lines of the settings' table of bounds.
+    std::string bounds;
 
 private:
     fleet::node make(const std::string& name, const std::string& zone);
--- a/tests/standins/standin_platform_worker.cpp
+++ b/tests/standins/standin_platform_worker.cpp
@@ -259,7 +259,9 @@
                                  {"host", asked.headers.get("Host")},
                                  {"model", asked.headers.get("Model")},
                                  {"deadline", asked.headers.get("Deadline-Ms")},
-                                 {"last", asked.headers.get("Last-Event-Id")}};
+                                 {"last", asked.headers.get("Last-Event-Id")},
+                                 {"tenant", asked.headers.get("Tenant-Id")},
+                                 {"key", asked.headers.get("Authorization")}};
         http::response answer;
         bool crossed = this->state.crossed > 0;
         this->state.crossed -= crossed ? 1 : 0;
