quotas: Limit a workspace's requests over all hosts

Each workspace's token bucket is owned by one host, chosen by rendezvous hashing; hosts admit by their local view of it, report what they admitted by datagrams and hear the bucket's state in return, so that no request waits for a message and none needs the store. Where fewer tokens are left than all hosts ask for in a report's delay, a host admits a random share. An owner tells all hosts of a bucket that is scarce; a host that no owner answers admits half of an equal share.

Ruled out: counts in beacons with a bucket on each host. A host that restarts during a flood starts with a full bucket and stays above the others, since what is admitted equals what is refilled; levels in the beacons would count each admission twice.

--- a/source/core/peers/beacon.hpp
+++ b/source/core/peers/beacon.hpp
@@ -50,18 +50,6 @@
     std::uint64_t tokens = 0;
 };
 
-/// @brief How many requests of a workspace were asked for and admitted.
-///
-/// Both counts only grow while the sender's process runs, so that lost and
-/// repeated beacons don't falsify them.
-struct usage
-{
-    /// Hash of the workspace's name.
-    std::uint64_t workspace = 0;
-    std::uint64_t asked = 0;
-    std::uint64_t admitted = 0;
-};
-
 /// @brief What the requests of one or more hosts showed of an endpoint.
 struct endpoint_evidence
 {
@@ -127,8 +115,6 @@
     std::vector<backlog> backlogs;
     /// The sender's own and those that it has received.
     std::vector<quarantine::crash_report> crashes;
-    /// Counts of the hosts that the scope names.
-    std::vector<usage> usages;
     std::vector<endpoint_evidence> evidence;
 };
 
--- a/source/forward/online_request.cpp
+++ b/source/forward/online_request.cpp
@@ -2,12 +2,12 @@
 
 #include <algorithm>
 #include <charconv>
-#include <cstdio>
 
 #include "core/limits/stopping_host.hpp"
 #include "core/quarantine/request_identity.hpp"
 #include "forward/leaving_answer.hpp"
 #include "host/boot_clock.hpp"
+#include "http/message_text.hpp"
 #include "logging/event.hpp"
 
 namespace amaranthhatch::forward
@@ -48,14 +48,6 @@
     return route.kind == route_kind::stream;
 }
 
-std::string seconds_text(core::milliseconds time)
-{
-    char text[32];
-    std::snprintf(text, sizeof text, "%.2f",
-                  static_cast<double>(time.count()) / 1000);
-    return text;
-}
-
 core::milliseconds parse_milliseconds(std::string_view text,
                                       core::milliseconds fallback)
 {
@@ -624,10 +616,12 @@
 void online_request::refuse(std::string_view reason,
                             core::milliseconds retry_after)
 {
+    if (this->workspace != nullptr)
+        this->runtime.quotas().give_back(*this->workspace);
     http::header_list response_headers;
     response_headers.add("Content-Type", "text/plain");
-    response_headers.add("Retry-After",
-                         seconds_text(std::max(retry_after, min_retry_after)));
+    response_headers.add("Retry-After", http::seconds_text(std::max(
+                                            retry_after, min_retry_after)));
     this->exchange->respond(503, response_headers,
                             "not run: " + std::string(reason) + "\n");
     this->finish("refused", 503, reason);
--- a/source/forward/online_router.cpp
+++ b/source/forward/online_router.cpp
@@ -1,6 +1,7 @@
 #include "forward/online_router.hpp"
 
 #include "forward/online_request.hpp"
+#include "http/message_text.hpp"
 #include "logging/event.hpp"
 
 namespace amaranthhatch::forward
@@ -34,6 +35,7 @@
     if (this->configuration)
         this->revoked.record(this->configuration->workspaces(),
                              table->workspaces());
+    this->runtime.quotas().apply(table->workspaces());
     this->configuration = std::move(table);
     this->runtime.metrics_recorder().set(
         "hatch_configuration_version",
@@ -49,12 +51,15 @@
 }
 
 void online_router::reject(http::server_exchange& exchange, int status,
-                           std::string_view reason, std::string_view workspace)
+                           std::string_view reason, std::string_view workspace,
+                           core::milliseconds retry_after)
 {
     http::header_list headers;
     headers.add("Content-Type", "text/plain");
     if (status == 503)
         headers.add("Retry-After", "0.5");
+    if (status == 429)
+        headers.add("Retry-After", http::seconds_text(retry_after));
     if (status == 401)
         headers.add("WWW-Authenticate", this->names.credentials_scheme);
     exchange.respond(status, headers, std::string(reason) + "\n");
@@ -137,6 +142,13 @@
     if (matched->kind == route_kind::batch)
         return this->batch({std::move(exchange), this->configuration->version(),
                             std::string(caller.name())});
+    if (caller.workspace != nullptr)
+    {
+        auto decision = this->runtime.quotas().admit(*caller.workspace);
+        if (!decision.admitted)
+            return this->reject(*exchange, 429, "quota", caller.name(),
+                                decision.retry_after);
+    }
     std::make_shared<online_request>(this->runtime, this->names,
                                      this->configuration, *matched,
                                      caller.workspace, std::move(exchange))
--- a/source/forward/online_router.hpp
+++ b/source/forward/online_router.hpp
@@ -74,7 +74,8 @@
 
 private:
     void reject(http::server_exchange& exchange, int status,
-                std::string_view reason, std::string_view workspace = {});
+                std::string_view reason, std::string_view workspace = {},
+                core::milliseconds retry_after = {});
     bool check_key(http::server_exchange& exchange,
                    const caller_identity& caller);
 
--- a/source/host/host_runtime.cpp
+++ b/source/host/host_runtime.cpp
@@ -125,10 +125,13 @@
               for (const auto& callback : this->beacon_listeners)
                   callback();
           }),
+      request_quotas(loop, this->current_settings.name, this->own_incarnation,
+                     this->socket, this->peer_hosts, metrics),
       listeners(part_count), check_timer(loop), registration_timer(loop),
       pulling(part_count, false), last_pull(part_count),
       behind_since(part_count)
 {
+    this->request_quotas.set_slack(this->current_settings.quota_slack);
     auto add_mirror = [this](store::mirror_options options)
     {
         this->mirrors.push_back(std::make_unique<store::mirror>(
@@ -226,6 +229,7 @@
 void host_runtime::change_settings(const host_settings& changed)
 {
     this->current_settings = changed;
+    this->request_quotas.set_slack(changed.quota_slack);
     this->responses->set_limit(response_budget_bytes(changed));
     this->mirrors[static_cast<std::size_t>(mirrored_part::endpoints)]
         ->set_interval(endpoint_interval(this->current_settings));
@@ -292,6 +296,7 @@
     this->registration_timer.cancel();
     for (const auto& mirror : this->mirrors)
         mirror->stop();
+    this->request_quotas.stop();
     this->socket.stop();
     if (this->lease != 0)
         this->store.revoke(this->lease, [](const store::lease_result&) {});
--- a/source/host/host_runtime.hpp
+++ b/source/host/host_runtime.hpp
@@ -15,6 +15,7 @@
 #include "host/quarantine_entries.hpp"
 #include "host/quarantine_trials.hpp"
 #include "host/shared_quarantine.hpp"
+#include "host/workspace_quotas.hpp"
 #include "http/async_client.hpp"
 #include "http/async_server.hpp"
 #include "http/response_budget.hpp"
@@ -95,6 +96,7 @@
     core::endpoints::endpoint_table& endpoints() { return this->table; }
     shared_quarantine& quarantine() { return this->prompt_quarantine; }
     quarantine_trials& trials() { return this->trial_claims; }
+    workspace_quotas& quotas() { return this->request_quotas; }
     const host_settings& settings() const { return this->current_settings; }
     /// @brief The key of the placement of the jobs' partitions.
     std::string placement_key() const;
@@ -166,6 +168,7 @@
     quarantine_entries quarantined_parts;
     quarantine_trials trial_claims;
     peers::beacon_socket socket;
+    workspace_quotas request_quotas;
     std::vector<std::unique_ptr<store::mirror>> mirrors;
     std::vector<std::vector<change_callback>> listeners;
     std::vector<change_callback> beacon_listeners;
--- a/source/host/host_settings.hpp
+++ b/source/host/host_settings.hpp
@@ -55,6 +55,9 @@
     bool fail_closed = false;
     /// A withdrawn key is refused after this time.
     core::milliseconds revocation_limit{};
+    /// Requests of a workspace beyond its limit that may be run in a short
+    /// time.
+    double quota_slack = 0;
     /// Retry-After of refusals for which no better estimate exists.
     core::milliseconds retry_after{};
 };
--- a/source/host/settings_change.cpp
+++ b/source/host/settings_change.cpp
@@ -22,6 +22,8 @@
     {"job_status", &host_settings::job_status},
     {"revocation_limit", &host_settings::revocation_limit},
     {"retry_after", &host_settings::retry_after}};
+constexpr setting<double> reloadable_numbers[] = {
+    {"quota_slack", &host_settings::quota_slack}};
 constexpr setting<bool> reloadable_flags[] = {
     {"fail_closed", &host_settings::fail_closed}};
 constexpr setting<std::string> reloadable_texts[] = {
@@ -72,6 +74,7 @@
     settings_change result{in_force, {}, {}};
     apply(reloadable_times, reloaded, result);
     apply(reloadable_flags, reloaded, result);
+    apply(reloadable_numbers, reloaded, result);
     apply(reloadable_texts, reloaded, result);
     apply(reloadable_lists, reloaded, result);
     apply(reloadable_sizes, reloaded, result);
--- a/source/http/message_text.cpp
+++ b/source/http/message_text.cpp
@@ -139,6 +139,14 @@
     return text;
 }
 
+std::string seconds_text(std::chrono::milliseconds time)
+{
+    char text[32];
+    std::snprintf(text, sizeof text, "%.2f",
+                  static_cast<double>(time.count()) / 1000);
+    return text;
+}
+
 void append_chunk(std::string& out, std::string_view piece)
 {
     char size[20];
--- a/source/http/message_text.hpp
+++ b/source/http/message_text.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -67,6 +68,9 @@
 std::string request_text(std::string_view method, std::string_view target,
                          const header_list& headers, std::size_t length);
 
+/// @brief A time as seconds with two decimals, as in Retry-After.
+std::string seconds_text(std::chrono::milliseconds time);
+
 /// @brief Appends one piece of a chunked body.
 void append_chunk(std::string& out, std::string_view piece);
 
--- a/source/peers/beacon_socket.cpp
+++ b/source/peers/beacon_socket.cpp
@@ -49,6 +49,9 @@
 // sends five.
 constexpr core::milliseconds idle_interval{200};
 
+// Begins messages that aren't beacons; MessagePack never uses this byte.
+constexpr char message_mark = '\xc1';
+
 core::peers::beacon without_loads(const core::peers::beacon& beacon,
                                   core::milliseconds next_within)
 {
@@ -114,6 +117,12 @@
 
 void beacon_socket::handle_datagram(std::string_view bytes)
 {
+    if (bytes.starts_with(message_mark))
+    {
+        if (this->handle_message)
+            this->handle_message(bytes.substr(1));
+        return;
+    }
     auto beacon = unpack_beacon(bytes);
     auto now = host::boot_now();
     if (!beacon || !this->peers.receive(*beacon, now))
@@ -129,6 +138,17 @@
     this->on_beacon(*beacon);
 }
 
+void beacon_socket::on_message(message_handler handler)
+{
+    this->handle_message = std::move(handler);
+}
+
+void beacon_socket::send_message(const core::peers::peer& peer,
+                                 std::string_view bytes)
+{
+    this->send_to(peer, message_mark + std::string(bytes));
+}
+
 void beacon_socket::send_soon()
 {
     if (this->send_requested || this->stopped)
--- a/source/peers/beacon_socket.hpp
+++ b/source/peers/beacon_socket.hpp
@@ -35,6 +35,9 @@
 public:
     using beacon_source = std::function<core::peers::beacon()>;
     using beacon_callback = std::function<void(const core::peers::beacon&)>;
+    /// Handles a message of another kind; bytes are those that were passed to
+    /// send_message().
+    using message_handler = std::function<void(std::string_view bytes)>;
 
     /// @brief Binds "IP:PORT". Throws errors::failure if it can't.
     beacon_socket(boost::asio::io_context& loop, const std::string& address,
@@ -44,6 +47,12 @@
     void start();
     void stop();
 
+    /// @brief Sets the handler of messages that aren't beacons.
+    void on_message(message_handler handler);
+
+    /// @brief Sends a message that isn't a beacon to a host.
+    void send_message(const core::peers::peer& peer, std::string_view bytes);
+
     /// @brief Schedules a beacon as soon as the minimum interval allows.
     void send_soon();
 
@@ -68,6 +77,7 @@
     core::peers::peer_table& peers;
     beacon_source compose;
     beacon_callback on_beacon;
+    message_handler handle_message;
     std::array<char, 65536> buffer{};
     boost::asio::ip::udp::endpoint sender;
     core::instant last_sent{};
--- a/source/peers/packing.cpp
+++ b/source/peers/packing.cpp
@@ -66,14 +66,6 @@
     MSGPACK_DEFINE(wall_ms, reports)
 };
 
-struct packed_usage
-{
-    std::uint64_t workspace = 0;
-    std::uint64_t asked = 0;
-    std::uint64_t admitted = 0;
-    MSGPACK_DEFINE(workspace, asked, admitted)
-};
-
 struct packed_evidence
 {
     std::uint64_t endpoint = 0;
@@ -104,12 +96,11 @@
     std::vector<packed_pair> copies;
     std::vector<packed_pair> backlogs;
     std::vector<packed_crash> crashes;
-    std::vector<packed_usage> usages;
     std::vector<packed_evidence> evidence;
     MSGPACK_DEFINE(version, name, incarnation, sent_ms, address, zone, region,
                    disk, capacity, next_within_ms, leaving, store_unreachable,
                    configuration_age_ms, scope, echoes, loads, copies, backlogs,
-                   crashes, usages, evidence)
+                   crashes, evidence)
 };
 
 struct packed_entry
@@ -197,8 +188,6 @@
         packed.backlogs.push_back({backlog.key, backlog.tokens});
     for (const auto& crash : beacon.crashes)
         packed.crashes.push_back(to_packed(crash));
-    for (const auto& usage : beacon.usages)
-        packed.usages.push_back({usage.workspace, usage.asked, usage.admitted});
     for (const auto& each : beacon.evidence)
         packed.evidence.push_back(
             {each.endpoint, each.failed, each.answered, each.age.count()});
@@ -247,8 +236,6 @@
         beacon.backlogs.push_back({backlog.first, backlog.second});
     for (const auto& crash : packed->crashes)
         beacon.crashes.push_back(from_packed(crash));
-    for (const auto& usage : packed->usages)
-        beacon.usages.push_back({usage.workspace, usage.asked, usage.admitted});
     for (const auto& each : packed->evidence)
         beacon.evidence.push_back({each.endpoint, each.failed, each.answered,
                                    core::milliseconds(std::clamp<std::int64_t>(
--- a/tests/platform/workspaces_test.cpp
+++ b/tests/platform/workspaces_test.cpp
@@ -395,3 +395,41 @@
     CHECK(this->submit(1, "job-2", key("key-1b"), 20) == 429);
     CHECK(this->submit(1, "job-3", key("key-2"), 90) == 202);
 }
+
+// Guards against a limit that holds at each host by itself.
+TEST_CASE("workspace over its limit on two hosts, is answered 429 with a time "
+          "and others are served")
+{
+    keyed_fleet keyed(2);
+    keyed.fleet.configure(
+        [](json& configuration)
+        {
+            configuration["tenants"][0]["rate_per_s"] = 4;
+            configuration["tenants"][0]["burst"] = 4;
+        });
+    // Workers answer within 100 ms; the limit is in force when one is refused.
+    int served = 0;
+    int refused = 0;
+    auto began = std::chrono::steady_clock::now();
+    while (std::chrono::steady_clock::now() - began < 6s)
+    {
+        auto number = std::to_string(served + refused);
+        auto reply =
+            keyed.fleet.call((served + refused) % 2, "POST", "/again/x",
+                             "q" + number, "b", key("key-1a"));
+        bool over = reply.status == 429;
+        (over ? refused : served)++;
+        if (!over)
+            continue;
+        CHECK(std::stod(std::string(reply.headers.get("Retry-After"))) > 0);
+        CHECK(keyed.runs("q" + number) == 0);
+        std::this_thread::sleep_for(20ms);
+    }
+    // Six seconds and the burst, beside those served before it was in force.
+    CHECK(refused > 0);
+    CHECK(served <= 6 * 4 + 4 + 12);
+    CHECK(served >= 16);
+    CHECK(keyed.status(0, "two", key("key-2")) == 200);
+    CHECK(fleet::metric(keyed.fleet.entries[0], "hatch_requests_total",
+                        "reason=\"quota\"") > 0);
+}
