batches: Log writes and syncs of the disk that take over a second

A disk probe on the same machine at that time saw syncs of up to 0.93 s; whether this one took ten is not shown. The line tells it the next time.

--- a/source/batches/disk_log.cpp
+++ b/source/batches/disk_log.cpp
@@ -17,6 +17,7 @@
 
 #include "core/hash.hpp"
 #include "errors/failure.hpp"
+#include "host/boot_clock.hpp"
 #include "logging/event.hpp"
 
 namespace amaranthhatch::batches
@@ -25,6 +26,10 @@
 namespace
 {
 
+// A write that takes longer delays the acknowledgement of jobs beyond the time
+// that their callers wait.
+constexpr core::milliseconds slow_sync{1000};
+
 struct frame_header
 {
     std::uint32_t length = 0;
@@ -282,8 +287,15 @@
         old_numbers = this->file_numbers();
         this->open_file(this->file_number + 1);
     }
+    auto began = host::boot_now();
     bool synced =
         write_all(this->file, group.bytes) && ::fdatasync(this->file) == 0;
+    auto elapsed = host::boot_now() - began;
+    if (elapsed > slow_sync)
+        logging::event(logging::level::warning, "disk_slow")
+            .with("folder", this->folder)
+            .with("bytes", static_cast<std::int64_t>(group.bytes.size()))
+            .with("ms", elapsed.count());
     if (!synced)
     {
         // A host that can't store records must not confirm any, so the process
