batches: Let a single owner start items on all free slots

A single owner of jobs knows all runs of items as they are, and a service without a free slot is told apart from a used share. Both were found by tests of the scheduler and the survey, which pass again.

--- a/source/batches/item_scheduler.cpp
+++ b/source/batches/item_scheduler.cpp
@@ -359,6 +359,10 @@
 bool item_scheduler::may_start(std::string_view service, core::instant now)
 {
     const auto& peers = this->runtime.peers();
+    auto owners = this->placement.owner_count();
+    // An owner alone knows all runs of items as they are.
+    if (!peers.follows_lead() && owners <= 1)
+        return true;
     // Where no lead sends views, loads that are this much older are a new view.
     auto view = peers.follows_lead()
                     ? peers.view_number()
@@ -368,7 +372,7 @@
         share.begin_view(view,
                          this->runtime.endpoints().free_for_batch(
                              service, {reserved_slots, 1}, now),
-                         this->placement.owner_count(), host::uniform());
+                         owners, host::uniform());
     return share.may_start();
 }
 
@@ -406,7 +410,12 @@
     state.held_by = wait_reason::none;
     if (!this->may_start(service, now))
     {
-        this->survey.record_full(service, wait_reason::share_used);
+        // A lead's view without free slots has no shares either.
+        bool shared = this->runtime.peers().follows_lead() ||
+                      this->runtime.endpoints().free_for_batch(
+                          service, {reserved_slots, 1}, now) > 0;
+        this->survey.record_full(service, shared ? wait_reason::share_used
+                                                 : wait_reason::no_slot);
         return false;
     }
     bool late = model::chance_of(next.demand) == model::item_chance::late;
