hedging: Start second attempts for slow requests within a limit

Cause: an idempotent request waited for a slow endpoint until its deadline, and a resumable stream for 0.7 of its target, whatever the service's usual delay.

Change: core/hedging keeps decaying distributions of first-event delays by service, form of response and prompt size, and decides on a second attempt within a budget (percent of first attempts, burst). forward/request_hedge applies it to one request; the first attempt is closed before the second one is sent and counts as a possible run.

Ruled out: racing both attempts, as a host frozen during the race leaves two endpoints at work; see docs/design/hedging.md for the others.

--- a/source/core/endpoints/endpoint_table.cpp
+++ b/source/core/endpoints/endpoint_table.cpp
@@ -256,6 +256,19 @@
     return free;
 }
 
+double endpoint_table::free_online_share(std::string_view service,
+                                         instant now) const
+{
+    double free = 0;
+    double slots = 0;
+    for (const auto& each : this->candidates(service, {}, now))
+    {
+        slots += each.record->info.slots;
+        free += std::max(0.0, each.record->info.slots - each.online);
+    }
+    return slots > 0 ? free / slots : 0;
+}
+
 choice endpoint_table::choose_batch(std::string_view service,
                                     batch_allowance allowance, instant now,
                                     double uniform) const
--- a/source/core/endpoints/endpoint_table.hpp
+++ b/source/core/endpoints/endpoint_table.hpp
@@ -124,6 +124,10 @@
     double free_for_batch(std::string_view service, batch_allowance allowance,
                           instant now) const;
 
+    /// @brief Returns the share of a service's slots that no online request
+    /// uses, of the endpoints that may be chosen; 0 if there are none.
+    double free_online_share(std::string_view service, instant now) const;
+
     /// @brief Records the start of a request.
     run_key begin(std::string_view endpoint, load_kind kind, instant now);
 
--- a/source/forward/header_names.hpp
+++ b/source/forward/header_names.hpp
@@ -43,6 +43,10 @@
     std::string credentials_scheme;
     /// Tells the endpoint the name of the caller's workspace.
     std::string workspace;
+    /// Tells the size of the request's prompt.
+    std::string prompt_size;
+    /// Parses the value of that header: the prompt's tokens, 0 if not known.
+    std::uint64_t (*parse_prompt_size)(std::string_view value) = nullptr;
 };
 
 } // namespace amaranthhatch::forward
--- a/source/forward/online_request.cpp
+++ b/source/forward/online_request.cpp
@@ -58,10 +58,19 @@
     return complete ? core::milliseconds(value) : fallback;
 }
 
+std::uint64_t prompt_size(const header_names& names,
+                          const http::header_list& headers)
+{
+    return names.parse_prompt_size == nullptr
+               ? 0
+               : names.parse_prompt_size(headers.get(names.prompt_size));
+}
+
 } // namespace
 
 online_request::online_request(
     host::host_runtime& runtime, const header_names& names,
+    core::hedging::hedge_policy& hedging,
     std::shared_ptr<const core::routes::route_table> table,
     const core::routes::route& matched,
     const core::workspaces::workspace* workspace,
@@ -72,6 +81,9 @@
       request_id(
           this->exchange->received_request().headers.get(names.request_id)),
       service(core::routes::select_service(matched, host::uniform())),
+      hedge(runtime, hedging,
+            {this->service, is_stream(matched),
+             prompt_size(names, this->exchange->received_request().headers)}),
       arrived_at(host::boot_now()),
       body(std::make_shared<const std::string>(
           this->exchange->received_request().body))
@@ -265,12 +277,15 @@
     this->prompt.sent_at = now;
     if (this->trial)
         this->trial->begin(this->prompt);
+    this->hedge.on_sent(now);
     this->run = this->runtime.endpoints().begin(
         chosen.id, core::endpoints::load_kind::online, now);
     this->runtime.load_changed();
     this->call = this->runtime.http_client().start(
         chosen.id, chosen.address, this->compose_request(chosen),
         this->shared_from_this());
+    if (this->hedge.time_until_due(now))
+        this->schedule_timer();
 }
 
 bool online_request::on_head(int status_code,
@@ -321,6 +336,8 @@
     }
     else
         this->response_body += piece;
+    if (success && !is_stream(this->route))
+        this->hedge.on_first_event(host::boot_now());
     this->update_flow();
 }
 
@@ -373,7 +390,10 @@
     if (complete_events.empty())
         return;
     if (has_data(complete_events))
+    {
         this->record_event(host::boot_now());
+        this->hedge.on_first_event(this->last_event_at);
+    }
     this->runtime.quarantine().record_events(this->prompt, complete_events);
     if (!this->response_started)
     {
@@ -397,6 +417,7 @@
 void online_request::end_run(run_outcome result)
 {
     this->call = nullptr;
+    this->hedge.on_attempt_ended();
     this->runtime.endpoints().end(this->run, result, host::boot_now());
     this->runtime.load_changed();
     this->phase = call_state::waiting;
@@ -481,6 +502,8 @@
     bool complete = end == http::call_end::complete &&
                     this->unusable_reason.empty() &&
                     this->events.incomplete_event().empty();
+    if (complete && this->status < 400)
+        this->hedge.on_first_event(host::boot_now());
     this->end_run(complete ? run_outcome::answered : run_outcome::broken);
     if (end == http::call_end::closed &&
         this->runtime.quarantine().record_close(this->prompt, this->status))
@@ -565,6 +588,10 @@
     auto delay = this->route.resumable || this->paused
                      ? std::min(time_left, timer_interval)
                      : time_left;
+    if (this->repeatable())
+        delay = std::min(
+            delay,
+            this->hedge.time_until_due(host::boot_now()).value_or(delay));
     this->timer.expires_after(std::max(delay, core::milliseconds(1)));
     this->timer.async_wait(
         [self](boost::system::error_code error)
@@ -584,6 +611,51 @@
                              "timeout");
     if (this->paused)
         this->record_pause();
+    this->move_if_stalled(now);
+    if (this->phase == call_state::running)
+        this->hedge_if_slow(now);
+    if (this->phase != call_state::ended)
+        this->schedule_timer();
+}
+
+// Closes the first attempt before the second one starts, so that no two
+// endpoints ever work on the request.
+void online_request::hedge_if_slow(core::instant now)
+{
+    bool quarantine_concerned =
+        this->trial != nullptr || now < this->suspected_until ||
+        this->runtime.quarantine().blocked_for(this->prompt.parts);
+    // The head may come long before the first event or byte of the body.
+    bool success = this->status >= 200 && this->status < 300;
+    bool answers =
+        this->status != 0 && (!success || !this->response_body.empty());
+    if (!this->repeatable() || this->possible_runs > 0 || answers ||
+        this->response_started || this->paused || this->sends >= send_limit ||
+        !this->ends_before_stop() || quarantine_concerned)
+        return;
+    const auto* second = this->hedge.start(
+        {this->last_endpoint, this->excluded_endpoints,
+         this->route.max_attempts - std::min(this->route.max_attempts, 1u),
+         this->deadline - now},
+        now);
+    if (second == nullptr)
+        return;
+    logging::event(logging::level::info, "hedged")
+        .with("id", this->request_id)
+        .with("endpoint", this->last_endpoint)
+        .with("second", second->id)
+        .with("waited_ms", (now - this->sent).count());
+    // It is no failure of the endpoint, but may have run there.
+    this->drop_call(run_outcome::cancelled);
+    this->possible_runs++;
+    this->excluded_endpoints.push_back(this->last_endpoint);
+    this->preempts_batch = false;
+    this->send_to(*second);
+}
+
+// A resumable stream without progress moves to an endpoint with a free slot.
+void online_request::move_if_stalled(core::instant now)
+{
     auto target = this->response_started ? this->route.target_gap
                                          : this->route.target_latency;
     auto stall_limit =
@@ -592,25 +664,22 @@
                    this->route.resumable &&
                    now - this->last_event_at > stall_limit &&
                    this->possible_runs + 1 < this->route.max_attempts;
-    if (stalled)
-    {
-        auto alternative = this->runtime.endpoints().choose_online(
-            this->service, this->excluded_endpoints, now, host::uniform());
-        bool useful = alternative.chosen != nullptr &&
-                      alternative.chosen->id != this->last_endpoint &&
-                      alternative.expected_wait == core::milliseconds(0);
-        if (useful)
-        {
-            this->drop_call(run_outcome::broken);
-            this->possible_runs++;
-            this->excluded_endpoints.push_back(this->last_endpoint);
-            this->runtime.metrics_recorder().count("hatch_retries_total",
-                                                   "reason", "stalled");
-            this->attempt();
-        }
-    }
-    if (this->phase != call_state::ended)
-        this->schedule_timer();
+    if (!stalled)
+        return;
+    auto alternative = this->runtime.endpoints().choose_online(
+        this->service, this->excluded_endpoints, now, host::uniform());
+    bool useful = alternative.chosen != nullptr &&
+                  alternative.chosen->id != this->last_endpoint &&
+                  alternative.expected_wait == core::milliseconds(0);
+    if (!useful)
+        return;
+    this->hedge.on_stall_move(now);
+    this->drop_call(run_outcome::broken);
+    this->possible_runs++;
+    this->excluded_endpoints.push_back(this->last_endpoint);
+    this->runtime.metrics_recorder().count("hatch_retries_total", "reason",
+                                           "stalled");
+    this->attempt();
 }
 
 void online_request::refuse(std::string_view reason,
@@ -667,6 +736,8 @@
     metrics.observe("hatch_request_seconds",
                     static_cast<double>((now - this->arrived_at).count()) /
                         1000);
+    this->hedge.on_finished();
+    bool answered = outcome == "answered";
     logging::event(logging::level::info, "request")
         .with("id", this->request_id)
         .with("route", this->route.name)
@@ -678,6 +749,8 @@
         .with("reason", reason)
         .with("sends", this->sends)
         .with("ran", this->possible_runs)
+        .with("attempt", answered ? this->possible_runs : 0)
+        .with("hedged", this->hedge.started() ? 1 : 0)
         .with("displaced", this->preempts_batch ? 1 : 0)
         .with("first_ms", first_event_delay.count())
         .with("gap_ms", this->longest_gap.count())
--- a/source/forward/online_request.hpp
+++ b/source/forward/online_request.hpp
@@ -11,6 +11,7 @@
 #include "core/routes/route_table.hpp"
 #include "forward/event_splitter.hpp"
 #include "forward/header_names.hpp"
+#include "forward/request_hedge.hpp"
 #include "host/host_runtime.hpp"
 #include "http/async_client.hpp"
 #include "http/async_server.hpp"
@@ -29,6 +30,7 @@
 {
 public:
     online_request(host::host_runtime& runtime, const header_names& names,
+                   core::hedging::hedge_policy& hedging,
                    std::shared_ptr<const core::routes::route_table> table,
                    const core::routes::route& matched,
                    const core::workspaces::workspace* workspace,
@@ -77,6 +79,8 @@
     void end_run(core::endpoints::run_outcome result);
     void drop_call(core::endpoints::run_outcome result);
     void on_timer();
+    void move_if_stalled(core::instant now);
+    void hedge_if_slow(core::instant now);
     void schedule_timer();
     void on_disconnect();
     void give_up(core::endpoints::run_outcome result, std::string_view reason);
@@ -96,6 +100,7 @@
     boost::asio::steady_timer retry_timer;
     std::string request_id;
     std::string service;
+    request_hedge hedge;
     core::instant arrived_at;
     core::instant deadline;
     /// Time of the first complete event; zero: none was received.
--- a/source/forward/online_router.cpp
+++ b/source/forward/online_router.cpp
@@ -20,9 +20,13 @@
 } // namespace
 
 online_router::online_router(host::host_runtime& runtime, header_names names,
-                             batch_handler batch)
-    : runtime(runtime), names(std::move(names)), batch(std::move(batch))
+                             batch_handler batch,
+                             core::hedging::hedge_limit hedges)
+    : runtime(runtime), names(std::move(names)), batch(std::move(batch)),
+      hedging(hedges)
 {
+    runtime.metrics_recorder().set("hatch_hedge_share_limit",
+                                   hedges.percent / 100.0);
 }
 
 void online_router::apply(
@@ -149,7 +153,7 @@
             return this->reject(*exchange, 429, "quota", caller.name(),
                                 decision.retry_after);
     }
-    std::make_shared<online_request>(this->runtime, this->names,
+    std::make_shared<online_request>(this->runtime, this->names, this->hedging,
                                      this->configuration, *matched,
                                      caller.workspace, std::move(exchange))
         ->start();
--- a/source/forward/online_router.hpp
+++ b/source/forward/online_router.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 
+#include "core/hedging/hedge_policy.hpp"
 #include "core/routes/route_table.hpp"
 #include "core/workspaces/workspace_table.hpp"
 #include "forward/caller_identity.hpp"
@@ -39,7 +40,7 @@
     using batch_handler = std::function<void(batch_request request)>;
 
     online_router(host::host_runtime& runtime, header_names names,
-                  batch_handler batch);
+                  batch_handler batch, core::hedging::hedge_limit hedges = {});
 
     /// @brief Replaces the configuration in force by a newer version; other
     /// versions are ignored.
@@ -82,6 +83,7 @@
     host::host_runtime& runtime;
     header_names names;
     batch_handler batch;
+    core::hedging::hedge_policy hedging;
     std::shared_ptr<const core::routes::route_table> configuration;
     core::workspaces::revoked_keys revoked;
 };
