--- a/source/core/routes/route_table.hpp
+++ b/source/core/routes/route_table.hpp
@@ -98,6 +98,10 @@
     /// matches the path, or null.
     const route* match(std::string_view authority, std::string_view path) const;
 
+    const std::vector<service>& declared_services() const
+    {
+        return this->services;
+    }
     const service* find_service(std::string_view name) const;
     const std::vector<route>& routes() const { return this->all_routes; }
     const workspaces::workspace_table& workspaces() const
