store: Send changes of copies instead of whole ones

A host of a large zone fetched all entries of a part of the store from one host of its zone whenever one entry changed: some 0.6 MB for 3,000 endpoints, times the hosts of the zone.

A pull may now ask for changes. A listing doesn't show keys that were written and removed since the one before, so a revision between two listings isn't covered. Changes apply only to a copy of exactly their base, and go through the same step as a whole copy, so that a copy never goes back and entries missing after an outage are retained as before. Hosts of earlier versions get whole copies.

--- a/source/host/host_runtime.cpp
+++ b/source/host/host_runtime.cpp
@@ -370,7 +370,14 @@
     const auto& mirror = *this->mirrors[part];
     if (mirror.as_of() <= after_revision)
         return exchange.respond(204, {}, {});
-    exchange.respond(200, {}, peers::pack(mirror.snapshot()));
+    // Hosts of earlier versions would take changes for a complete copy.
+    bool takes_changes =
+        !http::query_value(exchange.received_request().query, "changes")
+             .empty();
+    exchange.respond(200, {},
+                     peers::pack(takes_changes
+                                     ? mirror.changes_since(after_revision)
+                                     : mirror.snapshot()));
 }
 
 std::string host_runtime::hosts_prefix() const
@@ -533,7 +540,8 @@
     this->last_pull[part] = boot_now();
     http::client_request request;
     request.target = "/copies/" + std::to_string(part) +
-                     "?after=" + std::to_string(this->mirrors[part]->as_of());
+                     "?after=" + std::to_string(this->mirrors[part]->as_of()) +
+                     "&changes=1";
     request.headers.add("Host", address);
     request.body_limit = copy_limit_bytes;
     http::start_buffered_call(
--- a/source/peers/packing.cpp
+++ b/source/peers/packing.cpp
@@ -116,7 +116,10 @@
     std::uint64_t revision = 0;
     std::vector<packed_entry> entries;
     std::vector<std::string> expired;
-    MSGPACK_DEFINE(revision, entries, expired)
+    /// Absent in messages of earlier versions, which send complete copies.
+    std::uint64_t base = 0;
+    std::vector<std::string> removed;
+    MSGPACK_DEFINE(revision, entries, expired, base, removed)
 };
 
 packed_crash to_packed(const core::quarantine::crash_report& report)
@@ -282,6 +285,8 @@
     for (const auto& entry : listing.entries)
         packed.entries.push_back({entry.key, entry.value, entry.revision});
     packed.expired = listing.expired;
+    packed.base = listing.base;
+    packed.removed = listing.removed;
     return to_bytes(packed);
 }
 
@@ -291,7 +296,8 @@
     if (!packed)
         return std::nullopt;
     store::listing listing{
-        store::outcome::done, packed->revision, {}, packed->expired};
+        store::outcome::done, packed->revision, {},
+        packed->expired,      packed->base,     packed->removed};
     for (const auto& entry : packed->entries)
         listing.entries.push_back(
             {entry.key, entry.value, entry.revision, false});
--- a/source/store/async_store.hpp
+++ b/source/store/async_store.hpp
@@ -48,6 +48,11 @@
     /// Keys whose entries were missing after an outage of the store and may be
     /// written again. Set only in copies that come from other hosts.
     std::vector<std::string> expired = {};
+    /// 0: all entries. Else only those that changed after this revision;
+    /// applies to a copy of exactly this revision. Set only by other hosts.
+    std::uint64_t base = 0;
+    /// Keys that were removed after base.
+    std::vector<std::string> removed = {};
 };
 
 /// @brief Requires that a key's last change is at this revision; 0: that the
--- a/source/store/mirror.cpp
+++ b/source/store/mirror.cpp
@@ -102,12 +102,17 @@
         return this->retry();
     this->record_success();
     bool changed = false;
+    std::vector<std::string> removed;
     for (const auto& event : changes.entries)
     {
         // This change may already be applied from another host's copy.
         if (event.revision <= this->as_of_revision)
             continue;
         auto found = this->current_entries.find(event.key);
+        // Another host may hold an entry that was written and removed since
+        // this host's last call, so its removal is recorded all the same.
+        if (event.removed)
+            removed.push_back(event.key);
         if (event.removed && found == this->current_entries.end())
             continue;
         changed = true;
@@ -118,6 +123,8 @@
         else
             this->current_entries[event.key] = this->limited(event);
     }
+    this->history.record(this->as_of_revision, changes.revision,
+                         std::move(removed), true);
     this->as_of_revision = std::max(this->as_of_revision, changes.revision);
     if (changed)
         this->report_change();
@@ -151,6 +158,7 @@
     bool changed = false;
     auto now = host::boot_now();
     std::map<std::string, entry, std::less<>> next_entries;
+    std::vector<std::string> removed;
     for (const auto& listed_entry : listed.entries)
     {
         auto found = this->current_entries.find(listed_entry.key);
@@ -167,6 +175,8 @@
     {
         if (next_entries.contains(key))
             continue;
+        if (!this->expired.contains(key))
+            removed.push_back(key);
         if (this->retain_expired(key, listed, now))
         {
             next_entries[key] = old;
@@ -182,6 +192,8 @@
     this->after_outage = false;
     this->current_entries = std::move(next_entries);
     this->replaced_at = now;
+    this->history.record(this->as_of_revision, listed.revision,
+                         std::move(removed), false);
     this->as_of_revision = listed.revision;
     if (changed)
         this->report_change();
@@ -221,10 +233,31 @@
 {
     if (peer_copy.revision <= this->as_of_revision)
         return false;
-    this->replace(peer_copy);
+    if (peer_copy.base != 0 && peer_copy.base != this->as_of_revision)
+        return false;
+    this->replace(peer_copy.base == 0 ? peer_copy : this->merged(peer_copy));
     return true;
 }
 
+// Entries that this host retains aren't in its copy as of the base, so that
+// they expire here as after a complete copy.
+listing mirror::merged(const listing& changes) const
+{
+    std::map<std::string, entry, std::less<>> entries = this->current_entries;
+    for (const auto& [key, expires] : this->expired)
+        entries.erase(key);
+    for (const auto& key : changes.expired)
+        entries.erase(key);
+    for (const auto& key : changes.removed)
+        entries.erase(key);
+    for (const auto& changed : changes.entries)
+        entries[changed.key] = changed;
+    listing out{outcome::done, changes.revision, {}, changes.expired};
+    for (auto& [key, merged_entry] : entries)
+        out.entries.push_back(std::move(merged_entry));
+    return out;
+}
+
 const entry* mirror::find(std::string_view key) const
 {
     auto found = this->current_entries.find(key);
@@ -242,6 +275,23 @@
     return copy;
 }
 
+listing mirror::changes_since(std::uint64_t revision) const
+{
+    if (revision == 0 || !this->history.covers(revision))
+        return this->snapshot();
+    listing changes{outcome::done, this->as_of_revision, {}};
+    changes.base = revision;
+    for (const auto& [key, current_entry] : this->current_entries)
+        if (this->expired.contains(key))
+            changes.expired.push_back(key);
+        else if (current_entry.revision > revision)
+            changes.entries.push_back(current_entry);
+    for (auto& key : this->history.removed_after(revision))
+        if (!this->current_entries.contains(key))
+            changes.removed.push_back(std::move(key));
+    return changes;
+}
+
 void mirror::record_success()
 {
     this->confirmed_at = host::boot_now();
--- a/source/store/mirror.hpp
+++ b/source/store/mirror.hpp
@@ -10,6 +10,7 @@
 
 #include "core/instant.hpp"
 #include "store/async_store.hpp"
+#include "store/copy_history.hpp"
 
 namespace amaranthhatch::store
 {
@@ -68,7 +69,8 @@
     void stop();
 
     /// @brief Replaces the entries by another host's copy if that is newer;
-    /// returns whether it was.
+    /// returns whether it was. Changes are applied only where their base is the
+    /// revision of this copy.
     bool adopt(const listing& peer_copy);
 
     /// @brief Sets whether this host reads from the store itself.
@@ -102,6 +104,10 @@
     /// @brief The complete copy, to send to another host.
     listing snapshot() const;
 
+    /// @brief What changed after a revision, to send to a host whose copy has
+    /// that revision; the complete copy where the changes aren't known.
+    listing changes_since(std::uint64_t revision) const;
+
     /// @brief True while this host's calls to the store fail.
     bool failing() const { return this->failures > 0; }
 
@@ -123,6 +129,7 @@
     void replace(const listing& listed);
     bool retain_expired(const std::string& key, const listing& listed,
                         core::instant now);
+    listing merged(const listing& changes) const;
     void remove_expired();
     entry limited(const entry& received) const;
     void retry();
@@ -156,6 +163,7 @@
     /// True from the end of an outage in which entries may have expired until
     /// the next replacement of the entries.
     bool after_outage = false;
+    copy_history history;
 };
 
 } // namespace amaranthhatch::store
