peers: Bound what the hosts of large zones are told

The lead of a zone of more than 16 hosts sent the loads of all endpoints of the fleet to each host every 50 ms, and to each other zone's lead every 40 or 100 ms, so that its bytes grew with hosts times endpoints.

Its hosts now get a view: the changed loads at the zone's own endpoints, named by their position in a list of keys, and the free slots of the other zones by service. Each view repeats the changes of the last three; a host that missed more asks for a whole one, and one host a round gets it anyway. Another large zone's lead gets the loads at its own endpoints and this zone's free slots. Both intervals follow from the bytes sent: 130 KB/s for views, 20 KB/s for other zones. Where a zone's loads aren't known by endpoint, its endpoints are drawn in proportion to its free slots, when at most a tenth of the own slots is free; a batch request there gives way, one at a time, when the zone has no free slot. Zones of 16 hosts or fewer send and get the same messages as before.

--- a/source/core/endpoints/endpoint_table.cpp
+++ b/source/core/endpoints/endpoint_table.cpp
@@ -65,12 +65,14 @@
 {
     for (auto& [id, record] : this->records)
         record.listed = false;
+    this->zones_by_hash.clear();
     for (auto& info : listed)
     {
         auto& record = this->records[info.id];
         record.id_hash = load_key(info.id);
         record.listed = true;
         record.info = std::move(info);
+        this->zones_by_hash[record.id_hash] = record.info.zone;
         this->update_leaving(record);
     }
     std::erase_if(
@@ -221,20 +223,121 @@
             chosen->total >= slots && chosen->online < slots};
 }
 
+std::string_view endpoint_table::zone_of(std::uint64_t endpoint) const
+{
+    auto found = this->zones_by_hash.find(endpoint);
+    return found == this->zones_by_hash.end() ? std::string_view{}
+                                              : found->second;
+}
+
+std::vector<peers::zone_capacity> endpoint_table::free_slots(instant now) const
+{
+    struct sum
+    {
+        std::optional<std::uint32_t> told;
+        std::uint32_t free = 0;
+    };
+    std::map<std::pair<std::string_view, std::string_view>, sum> sums;
+    for (const auto& [id, record] : this->records)
+    {
+        const auto& info = record.info;
+        auto [position, added] =
+            sums.try_emplace({info.zone, info.service}, sum{});
+        if (added)
+            position->second.told =
+                this->peer_hosts.free_capacity(info.zone, info.service);
+        if (position->second.told ||
+            !this->is_available(record, info.service, now))
+            continue;
+        auto load = this->peer_hosts.load(record.id_hash);
+        auto used = record.online + record.batch + load.online + load.batch;
+        position->second.free += info.slots - std::min(info.slots, used);
+    }
+    std::vector<peers::zone_capacity> out;
+    for (const auto& [names, each] : sums)
+        out.push_back({peers::capacity_key(names.first),
+                       peers::capacity_key(names.second),
+                       each.told.value_or(each.free)});
+    return out;
+}
+
+const endpoint_table::candidate*
+endpoint_table::remote_part::draw(double uniform) const
+{
+    auto drawn = this->capacity.draw(uniform);
+    return drawn ? &this->candidates[*drawn] : nullptr;
+}
+
+endpoint_table::remote_part
+endpoint_table::take_remote(std::vector<candidate>& from,
+                            std::string_view service,
+                            const batch_allowance* allowance) const
+{
+    remote_part out;
+    std::map<std::string_view, std::optional<std::uint32_t>> free_by_zone;
+    std::erase_if(
+        from,
+        [&](const candidate& each)
+        {
+            const auto& info = each.record->info;
+            auto [position, added] =
+                free_by_zone.try_emplace(info.zone, std::nullopt);
+            if (added)
+                position->second =
+                    this->peer_hosts.free_capacity(info.zone, service);
+            if (!position->second)
+                return false;
+            double slots = info.slots;
+            auto usable = allowance == nullptr
+                              ? slots
+                              : usable_for_batch(each, *allowance);
+            out.candidates.push_back(each);
+            out.capacity.add({info.zone, slots, each.total,
+                              std::max(0.0, slots - usable), each.distance},
+                             *position->second);
+            return true;
+        });
+    return out;
+}
+
+// Own slots come first while a share of them is free that the requests of a
+// view's age don't use up; what is left then is drawn together with the free
+// slots of the nearest other zones.
+const endpoint_table::candidate*
+endpoint_table::draw_any(std::span<const candidate> from,
+                         const remote_part& remote, double uniform)
+{
+    double free = 0;
+    double slots = 0;
+    for (const auto& each : from)
+    {
+        free += std::max(0.0, each.record->info.slots - each.total);
+        slots += each.record->info.slots;
+    }
+    auto remote_free = remote.capacity.nearest_free_slots();
+    if (free > slots * least_free_share || remote_free <= 0)
+        return draw(from, &candidate::total, uniform);
+    auto own_part = free / (free + remote_free);
+    if (uniform < own_part)
+        return draw(from, &candidate::total, uniform / own_part);
+    return remote.draw((uniform - own_part) / (1 - own_part));
+}
+
 choice endpoint_table::choose_online(std::string_view service,
                                      std::span<const std::string> excluded,
                                      instant now, double uniform) const
 {
     auto from = this->candidates(service, excluded, now);
+    auto remote = this->take_remote(from, service, nullptr);
     const candidate* chosen = nullptr;
-    if (this->peer_hosts.follows_lead())
+    if (this->peer_hosts.follows_lead() || !remote.capacity.empty())
     {
-        chosen = draw(from, &candidate::total, uniform);
+        chosen = draw_any(from, remote, uniform);
         if (chosen == nullptr)
             chosen = draw(from, &candidate::online, uniform);
     }
     if (chosen == nullptr)
-        chosen = this->best(from, uniform);
+        chosen = this->best(from.empty() ? remote.candidates : from, uniform);
     return this->choice_of(chosen, service);
 }
 
@@ -251,9 +354,11 @@
                                       instant now) const
 {
     double free = 0;
-    for (const auto& each : this->candidates(service, {}, now))
+    auto from = this->candidates(service, {}, now);
+    auto remote = this->take_remote(from, service, &allowance);
+    for (const auto& each : from)
         free += std::max(0.0, usable_for_batch(each, allowance) - each.total);
-    return free;
+    return free + remote.capacity.free_slots();
 }
 
 choice endpoint_table::choose_batch(std::string_view service,
@@ -261,11 +366,14 @@
                                     double uniform) const
 {
     auto from = this->candidates(service, {}, now);
+    auto remote = this->take_remote(from, service, &allowance);
     std::erase_if(from, [&](const candidate& each)
                   { return each.total >= usable_for_batch(each, allowance); });
     const candidate* chosen = nullptr;
-    if (this->peer_hosts.follows_lead())
+    if (this->peer_hosts.follows_lead() || !remote.capacity.empty())
         chosen = draw(from, &candidate::total, uniform);
+    if (chosen == nullptr && from.empty())
+        chosen = remote.draw(uniform);
     std::uint64_t salt = static_cast<std::uint64_t>(uniform * 4294967296.0);
     double best_cost = 0;
     bool drawn = chosen != nullptr;
@@ -401,6 +509,12 @@
         return 0;
     const auto& record = found->second;
     auto peer_load = this->peer_hosts.load(record.id_hash);
+    // Where only the zone's free slots are known, a batch request gives way
+    // when none is left, one at a time.
+    auto zone_free =
+        this->peer_hosts.free_capacity(record.info.zone, record.info.service);
+    if (zone_free)
+        return *zone_free == 0 ? std::min(record.batch, 1u) : 0;
     auto total =
         record.online + record.batch + peer_load.online + peer_load.batch;
     return total > record.info.slots ? total - record.info.slots : 0;
--- a/source/core/endpoints/endpoint_table.hpp
+++ b/source/core/endpoints/endpoint_table.hpp
@@ -5,10 +5,13 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "core/endpoints/leaving_marks.hpp"
+#include "core/endpoints/remote_capacity.hpp"
 #include "core/instant.hpp"
+#include "core/peers/fleet_endpoints.hpp"
 #include "core/peers/peer_table.hpp"
 
 namespace amaranthhatch::core::endpoints
@@ -86,9 +89,11 @@
 /// @brief Tracks the load and health of endpoints and chooses among them.
 ///
 /// Load is the sum of this host's running requests and those reported in other
-/// hosts' beacons. Health is derived from the results of this host's requests;
-/// endpoints' own health reports aren't used.
-class endpoint_table
+/// hosts' beacons. Of large zones other than the own only the free slots are
+/// known; their endpoints are drawn in proportion to these where the own zone
+/// has few free slots left. Health is derived from the results of this host's
+/// requests; endpoints' own health reports aren't used.
+class endpoint_table : public peers::fleet_endpoints
 {
 public:
     endpoint_table(std::string own_zone,
@@ -154,6 +159,9 @@
     /// @brief Returns the number of a service's endpoints that may be chosen.
     std::uint32_t usable(std::string_view service, instant now) const;
 
+    std::string_view zone_of(std::uint64_t endpoint) const override;
+    std::vector<peers::zone_capacity> free_slots(instant now) const override;
+
     /// @brief Returns a number that changes whenever own_loads() changes.
     std::uint64_t load_version() const { return this->version; }
 
@@ -192,6 +200,20 @@
     };
 
     void update_leaving(endpoint_record& record) const;
+    /// @brief Candidates of zones of which only the free slots are known.
+    struct remote_part
+    {
+        std::vector<candidate> candidates;
+        remote_capacity capacity;
+
+        const candidate* draw(double uniform) const;
+    };
+
+    remote_part take_remote(std::vector<candidate>& from,
+                            std::string_view service,
+                            const batch_allowance* allowance) const;
+    static const candidate* draw_any(std::span<const candidate> from,
+                                     const remote_part& remote, double uniform);
     static double usable_for_batch(const candidate& each,
                                    batch_allowance allowance);
     std::vector<candidate> candidates(std::string_view service,
@@ -215,6 +237,8 @@
     const peers::peer_table& peer_hosts;
     std::map<std::string, endpoint_record, std::less<>> records;
     leaving_marks leaving;
+    /// Zones of the listed endpoints, by their hashes.
+    std::unordered_map<std::uint64_t, std::string> zones_by_hash;
     std::map<std::string, double, std::less<>> mean_slot_time_ms;
     std::uint64_t next_run = 1;
     std::uint64_t version = 0;
--- a/source/core/peers/beacon.hpp
+++ b/source/core/peers/beacon.hpp
@@ -5,20 +5,13 @@
 #include <vector>
 
 #include "core/instant.hpp"
+#include "core/peers/endpoint_load.hpp"
+#include "core/peers/zone_view.hpp"
 #include "core/quarantine/crash_report.hpp"
 
 namespace amaranthhatch::core::peers
 {
 
-/// @brief Number of requests that one host is running at an endpoint.
-struct endpoint_load
-{
-    /// Hash of the endpoint's identifier.
-    std::uint64_t endpoint = 0;
-    std::uint32_t online = 0;
-    std::uint32_t batch = 0;
-};
-
 /// @brief The last beacon that the sender received from another host.
 ///
 /// The other host recognizes its own sent_ms in the echo and so detects that
@@ -70,18 +63,27 @@
     presence,
     /// The sums over the sender's zone, for the leads of other zones.
     zone,
-    /// The sums over all zones, for the hosts of the sender's zone.
-    fleet
+    /// The sums over all zones, for the hosts of the sender's zone. Sent only
+    /// by earlier versions.
+    fleet,
+    /// The sums over the sender's zone at the endpoints of the receiver's zone,
+    /// with the free slots of the sender's, for the leads of other zones.
+    part,
+    /// The sums at the zone's endpoints as a view_message, for its hosts.
+    view,
+    /// None; asks the lead for a complete view.
+    view_request
 };
 
 /// @brief Status message that hosts send each other many times a second.
 ///
 /// In a small zone each host sends its beacon to all others. In a large one it
 /// sends them to the zone's two relays, and the first relay, the lead, sends
-/// the sums of all loads back, so that the number of messages grows with the
-/// number of hosts and not with its square. The lead also sends the sums of its
-/// zone to the leads of the other zones. Hosts with a disk send their beacons
-/// to the hosts with which they share a partition, and to the others seldom.
+/// the sums at the zone's endpoints back, so that the number of messages grows
+/// with the number of hosts and not with its square, and their length not with
+/// the fleet. The lead also sends sums of its zone to the leads of the others.
+/// Hosts with a disk send their beacons to the hosts with which they share a
+/// partition, and to the others seldom.
 struct beacon
 {
     std::string name;
@@ -116,6 +118,8 @@
     /// The sender's own and those that it has received.
     std::vector<quarantine::crash_report> crashes;
     std::vector<endpoint_evidence> evidence;
+    /// Set in views; in parts only the capacities, those of the sender's zone.
+    view_message view;
 };
 
 } // namespace amaranthhatch::core::peers
--- a/source/core/peers/peer_table.cpp
+++ b/source/core/peers/peer_table.cpp
@@ -24,8 +24,9 @@
 // is back by then.
 constexpr milliseconds relay_exclusion{3000};
 // Sums of another lead are taken over at once where those of the present lead
-// are older than this.
+// are older than this, and than its interval and this delay.
 constexpr milliseconds lead_switch_age{300};
+constexpr milliseconds lead_switch_delay{100};
 
 } // namespace
 
@@ -75,6 +76,10 @@
         return false;
     if (message.scope == beacon_scope::zone)
         return this->receive_summary(message, now);
+    if (message.scope == beacon_scope::part)
+        return this->receive_summary(message, now);
+    if (message.scope == beacon_scope::view)
+        return this->receive_zone_view(message, now);
     if (message.scope == beacon_scope::fleet)
         return this->receive_fleet_view(message, now);
     auto& entry = this->peers[message.name];
@@ -85,6 +90,8 @@
         entry.sent_ms = 0;
     this->update_peer(entry, message, now);
     entry.backlogs = message.backlogs;
+    if (message.scope == beacon_scope::view_request)
+        entry.wants_view = true;
     // Loads of hosts in other zones are counted from their zone's summary.
     if (message.zone == this->own_zone && message.scope == beacon_scope::host)
     {
@@ -118,32 +125,83 @@
     summary.lead = message.name;
     summary.last_received = now;
     summary.loads = message.loads;
+    summary.partial = message.scope == beacon_scope::part;
+    summary.capacities = message.view.capacities;
     this->add_loads(summary.loads, 1);
     return true;
 }
 
-bool peer_table::receive_fleet_view(const beacon& message, instant now)
+bool peer_table::is_late(const beacon& message) const
+{
+    const auto* known = this->find(message.name);
+    return known != nullptr && known->incarnation == message.incarnation &&
+           message.sent_ms < known->sent_ms;
+}
+
+bool peer_table::takes_view_of(const beacon& message, instant now)
 {
-    if (message.zone != this->own_zone)
-        return false;
     auto& sender = this->peers[message.name];
-    bool same_start = sender.incarnation == message.incarnation;
-    if (same_start && message.sent_ms < sender.sent_ms)
-        return false;
-    if (!same_start)
+    if (sender.incarnation != message.incarnation)
         sender.sent_ms = 0;
     this->update_peer(sender, message, now);
     sender.backlogs = message.backlogs;
+    auto switch_age =
+        std::max(lead_switch_age, this->view.next_within + lead_switch_delay);
     bool present_lead = this->view.lead == message.name ||
-                        now - this->view.last_received > lead_switch_age;
-    if (this->leads_zone(now) || !present_lead)
+                        now - this->view.last_received > switch_age;
+    return present_lead && !this->leads_zone(now);
+}
+
+bool peer_table::receive_fleet_view(const beacon& message, instant now)
+{
+    if (message.zone != this->own_zone || this->is_late(message))
+        return false;
+    if (!this->takes_view_of(message, now))
         return true;
     this->view.lead = message.name;
     this->view.last_received = now;
+    this->view.next_within = message.next_within;
+    this->view.zone_only = false;
+    this->view.incomplete = false;
+    this->view.received.clear();
     this->view.loads.clear();
     for (const auto& load : message.loads)
         this->view.loads[load.endpoint] = load;
-    this->remove_included(message.included_ms);
+    if (const auto* included = this->find_report(message.included_ms))
+        for (const auto& own : included->loads)
+        {
+            auto& sum = this->view.loads[own.endpoint];
+            sum.online -= std::min(sum.online, own.online);
+            sum.batch -= std::min(sum.batch, own.batch);
+        }
+    this->following = true;
+    this->view_count++;
+    return true;
+}
+
+bool peer_table::receive_zone_view(const beacon& message, instant now)
+{
+    if (message.zone != this->own_zone || this->is_late(message))
+        return false;
+    if (!this->takes_view_of(message, now))
+        return true;
+    this->view.lead = message.name;
+    this->view.next_within = message.next_within;
+    if (!this->view.received.apply(message.view))
+    {
+        // The loads of before hold until they are too old.
+        this->view.incomplete = true;
+        return true;
+    }
+    this->view.last_received = now;
+    this->view.incomplete = false;
+    this->view.zone_only = true;
+    this->view.loads.clear();
+    this->view.capacities = message.view.capacities;
+    this->view.included.clear();
+    if (const auto* included = this->find_report(message.included_ms))
+        for (const auto& own : included->loads)
+            this->view.included[own.endpoint] = own;
     this->following = true;
     this->view_count++;
     return true;
@@ -151,21 +209,61 @@
 
 // The sums contain this host's loads as of the report that they name, not as of
 // now. Older reports are no longer needed.
-void peer_table::remove_included(std::int64_t included_ms)
+const peer_table::report* peer_table::find_report(std::int64_t included_ms)
 {
     while (!this->reports.empty() &&
            this->reports.front().sent_ms < included_ms)
         this->reports.pop_front();
     bool included =
         !this->reports.empty() && this->reports.front().sent_ms == included_ms;
-    if (!included)
-        return;
-    for (const auto& own : this->reports.front().loads)
-    {
-        auto& sum = this->view.loads[own.endpoint];
-        sum.online -= std::min(sum.online, own.online);
-        sum.batch -= std::min(sum.batch, own.batch);
-    }
+    return included ? &this->reports.front() : nullptr;
+}
+
+// A lead with many hosts or endpoints sends views less often.
+milliseconds peer_table::view_expiry() const
+{
+    return std::max(this->bounds.load_expiry,
+                    this->view.next_within * missed_beacons);
+}
+
+void peer_table::on_view_sent(std::string_view name)
+{
+    auto found = this->peers.find(name);
+    if (found != this->peers.end())
+        found->second.wants_view = false;
+}
+
+std::size_t peer_table::hosts_in(std::string_view zone, instant now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(this->peers.begin(), this->peers.end(),
+                      [&](const auto& named)
+                      {
+                          const peer& other = named.second;
+                          return other.zone == zone &&
+                                 (other.registered || this->alive(other, now));
+                      }));
+}
+
+std::optional<std::uint32_t>
+peer_table::free_capacity(std::string_view zone, std::string_view service) const
+{
+    if (zone == this->own_zone)
+        return std::nullopt;
+    const std::vector<zone_capacity>* told = nullptr;
+    if (this->following)
+        told = this->view.zone_only ? &this->view.capacities : nullptr;
+    else if (auto found = this->summaries.find(zone);
+             found != this->summaries.end() && found->second.partial)
+        told = &found->second.capacities;
+    if (told == nullptr)
+        return std::nullopt;
+    auto zone_key = capacity_key(zone);
+    auto service_key = capacity_key(service);
+    for (const auto& each : *told)
+        if (each.zone == zone_key && each.service == service_key)
+            return each.free;
+    return 0;
 }
 
 // A host that leaves or was silent as a relay has no part in its zone's work.
@@ -240,7 +338,11 @@
         if (entry.relay_since == instant::zero())
             entry.relay_since = now;
         auto heard = std::max(entry.last_received, entry.relay_since);
-        if (now - heard <= relay_timeout)
+        auto timeout = relay_timeout;
+        if (name == this->view.lead)
+            timeout =
+                std::max(timeout, this->view.next_within * missed_beacons);
+        if (now - heard <= timeout)
             continue;
         entry.relay_excluded_until = now + relay_exclusion;
         entry.relay_since = {};
@@ -387,17 +489,17 @@
 
 void peer_table::expire_loads(instant now)
 {
-    this->following =
-        !this->view.lead.empty() &&
-        now - this->view.last_received <= this->bounds.load_expiry &&
-        !this->leads_zone(now);
+    this->following = !this->view.lead.empty() &&
+                      now - this->view.last_received <= this->view_expiry() &&
+                      !this->leads_zone(now);
     for (auto& [zone, summary] : this->summaries)
     {
         bool old = now - summary.last_received > this->bounds.load_expiry;
-        if (!old || summary.loads.empty())
+        if (!old)
             continue;
         this->add_loads(summary.loads, -1);
         summary.loads.clear();
+        summary.capacities.clear();
     }
     for (auto& [name, entry] : this->peers)
     {
@@ -454,9 +556,22 @@
 
 endpoint_load peer_table::load(std::uint64_t endpoint) const
 {
-    const auto& loads = this->following ? this->view.loads : this->sums;
+    bool by_zone = this->following && this->view.zone_only;
+    const auto& loads = by_zone           ? this->view.received.loads()
+                        : this->following ? this->view.loads
+                                          : this->sums;
     auto found = loads.find(endpoint);
-    return found == loads.end() ? endpoint_load{endpoint, 0, 0} : found->second;
+    if (found == loads.end())
+        return {endpoint, 0, 0};
+    auto out = found->second;
+    if (!by_zone)
+        return out;
+    auto own = this->view.included.find(endpoint);
+    if (own == this->view.included.end())
+        return out;
+    out.online -= std::min(out.online, own->second.online);
+    out.batch -= std::min(out.batch, own->second.batch);
+    return out;
 }
 
 std::uint64_t peer_table::backlog_tokens(std::uint64_t key, instant now) const
--- a/source/core/peers/peer_table.hpp
+++ b/source/core/peers/peer_table.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -41,6 +42,8 @@
     bool registered = false;
     bool leaving = false;
     bool store_unreachable = false;
+    /// It has asked for a complete view since it was last sent one.
+    bool wants_view = false;
     std::vector<endpoint_load> loads;
     /// Its clock's value in the beacon that brought the loads.
     std::int64_t loads_sent_ms = 0;
@@ -143,6 +146,24 @@
     /// lead's last message where it is current, else as this host sums them.
     endpoint_load load(std::uint64_t endpoint) const;
 
+    /// @brief Free slots of a service in another zone where its loads aren't
+    /// known by endpoint; nothing where they are, as in small zones. 0 where
+    /// that zone's lead hasn't been heard of lately.
+    std::optional<std::uint32_t> free_capacity(std::string_view zone,
+                                               std::string_view service) const;
+
+    /// @brief True where this host has missed views and waits for a whole one.
+    bool wants_view() const { return this->view.incomplete; }
+
+    /// @brief Records that a host was sent a complete view.
+    void on_view_sent(std::string_view name);
+
+    /// @brief Number of live or registered hosts of another zone.
+    std::size_t hosts_in(std::string_view zone, instant now) const;
+
+    /// @brief The host whose views this host follows, or null.
+    const peer* view_lead() const { return this->find(this->view.lead); }
+
     /// @brief True while the loads come from the lead of the zone.
     bool follows_lead() const { return this->following; }
 
@@ -164,6 +185,9 @@
         std::int64_t sent_ms = 0;
         instant last_received{};
         std::vector<endpoint_load> loads;
+        /// True where the sender names only the loads at this zone's endpoints.
+        bool partial = false;
+        std::vector<zone_capacity> capacities;
     };
 
     /// @brief Own loads as the relays were told them.
@@ -178,7 +202,17 @@
     {
         std::string lead;
         instant last_received{};
+        /// The time within which the lead sends its next view.
+        milliseconds next_within{};
+        /// Sums of an earlier version's lead, without this host's loads.
         std::map<std::uint64_t, endpoint_load> loads;
+        /// True where the lead names only the loads at this zone's endpoints.
+        bool zone_only = false;
+        bool incomplete = false;
+        view_receiver received;
+        /// This host's loads that the received ones contain.
+        std::map<std::uint64_t, endpoint_load> included;
+        std::vector<zone_capacity> capacities;
     };
 
     bool first_in_zone(instant now, bool reaching_store) const;
@@ -186,7 +220,11 @@
     bool ranks_before_self(const peer& other) const;
     bool receive_summary(const beacon& message, instant now);
     bool receive_fleet_view(const beacon& message, instant now);
-    void remove_included(std::int64_t included_ms);
+    bool receive_zone_view(const beacon& message, instant now);
+    bool is_late(const beacon& message) const;
+    bool takes_view_of(const beacon& message, instant now);
+    milliseconds view_expiry() const;
+    const report* find_report(std::int64_t included_ms);
     void update_peer(peer& entry, const beacon& message, instant now);
     void add_loads(const std::vector<endpoint_load>& loads, int sign);
 
--- a/source/host/host_runtime.cpp
+++ b/source/host/host_runtime.cpp
@@ -131,6 +131,7 @@
       pulling(part_count, false), last_pull(part_count),
       behind_since(part_count)
 {
+    this->socket.set_endpoints(this->table);
     this->request_quotas.set_slack(this->current_settings.quota_slack);
     auto add_mirror = [this](store::mirror_options options)
     {
--- a/source/packing/bytes.hpp
+++ b/source/packing/bytes.hpp
@@ -22,15 +22,22 @@
 }
 
 /// @brief Decodes a message; returns nullopt and logs an error if the bytes
-/// can't be decoded.
+/// can't be decoded. Sets length, if given, to the bytes that it took; more may
+/// follow.
 template <typename Packed>
 std::optional<Packed> from_bytes(std::string_view bytes,
-                                 std::string_view message_name)
+                                 std::string_view message_name,
+                                 std::size_t* length = nullptr)
 {
     try
     {
         Packed message;
-        msgpack::unpack(bytes.data(), bytes.size()).get().convert(message);
+        std::size_t offset = 0;
+        msgpack::unpack(bytes.data(), bytes.size(), offset)
+            .get()
+            .convert(message);
+        if (length != nullptr)
+            *length = offset;
         return message;
     }
     catch (const std::exception& error)
--- a/source/peers/beacon_socket.cpp
+++ b/source/peers/beacon_socket.cpp
@@ -29,10 +29,8 @@
 // Limits the beacons that a host or a relay receives from its zone to 500 per
 // second, which take a few percent of a processor.
 constexpr core::milliseconds zone_interval_per_host{2};
-// Interval of the sums that the lead of a large zone sends to its hosts, and
-// its part per host, which limits the lead to 1,000 datagrams a second.
-constexpr core::milliseconds min_view_interval{50};
-constexpr core::milliseconds view_interval_per_host{1};
+// Interval at which the lead of a large zone checks whether a view is due.
+constexpr core::milliseconds lead_interval{50};
 // Interval at which a host shows the hosts of a large zone that it lives, per
 // host: each receives about 25 of these a second.
 constexpr core::milliseconds presence_interval_per_host{40};
@@ -131,7 +129,9 @@
     bool large = this->large_zone(now);
     // The lead of a small zone forwards summaries of other zones within its
     // zone; hosts that already have one ignore it.
-    if (beacon->scope == core::peers::beacon_scope::zone && leads && !large)
+    bool summary = beacon->scope == core::peers::beacon_scope::zone ||
+                   beacon->scope == core::peers::beacon_scope::part;
+    if (summary && leads && !large)
         this->send_to_zone(std::string(bytes));
     if (leads && large)
         this->send_soon();
@@ -170,7 +170,7 @@
 {
     auto hosts = static_cast<int>(this->peers.zone_size(now));
     if (this->large_zone(now) && this->peers.leads_zone(now))
-        return std::max(min_view_interval, view_interval_per_host * hosts);
+        return lead_interval;
     return std::max(min_zone_interval, zone_interval_per_host * hosts);
 }
 
@@ -200,11 +200,13 @@
     if (!this->large_zone(now))
         this->send_to_zone(pack(beacon));
     else if (leads)
-        this->send_fleet_view(beacon);
+        this->send_zone_view(beacon, now);
     else
         this->send_by_relays(beacon, now);
     if (this->identity.has_disk)
         this->send_to_disks(beacon, now);
+    if (leads && this->large_zone(now))
+        this->send_parts(beacon, now);
     if (leads)
         this->send_summary(std::move(beacon), now);
     this->schedule(idle_interval);
@@ -218,6 +220,7 @@
     for (const auto* relay : this->peers.relays(now))
         this->send_to(*relay, bytes);
     this->send_presence(beacon, now);
+    this->request_view(beacon, now);
 }
 
 // The second relay shows itself as often as the lead, so that both are known to
@@ -273,31 +276,6 @@
     }
 }
 
-void beacon_socket::send_fleet_view(core::peers::beacon beacon)
-{
-    beacon.scope = core::peers::beacon_scope::fleet;
-    beacon.echoes.clear();
-    std::map<std::uint64_t, core::peers::endpoint_load> sums;
-    for (const auto& load : beacon.loads)
-        sums[load.endpoint] = load;
-    for (const auto& load : this->peers.fleet_loads())
-    {
-        auto& sum = sums[load.endpoint];
-        sum.endpoint = load.endpoint;
-        sum.online += load.online;
-        sum.batch += load.batch;
-    }
-    beacon.loads.clear();
-    for (const auto& [endpoint, load] : sums)
-        beacon.loads.push_back(load);
-    auto bytes = pack(beacon);
-    for (const auto& [name, peer] : this->peers.all())
-        if (peer.zone == this->identity.zone)
-            this->send_to(
-                peer, with_included(peer.loads.empty() ? 0 : peer.loads_sent_ms,
-                                    bytes));
-}
-
 void beacon_socket::send_summary(core::peers::beacon summary, core::instant now)
 {
     bool send_in_region = now - this->last_region_summary >= region_interval;
@@ -317,8 +295,9 @@
                          zone_loads.end());
     auto bytes = pack(summary);
     for (const auto* peer : this->peers.other_zone_leads(now))
-        if (peer->region == this->identity.region ? send_in_region
-                                                  : send_across_regions)
+        if (!this->takes_parts(*peer, now) &&
+            (peer->region == this->identity.region ? send_in_region
+                                                   : send_across_regions))
             this->send_to(*peer, bytes);
 }
 
--- a/source/peers/beacon_socket.hpp
+++ b/source/peers/beacon_socket.hpp
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "core/peers/fleet_endpoints.hpp"
 #include "core/peers/peer_table.hpp"
 
 namespace amaranthhatch::peers
@@ -26,10 +27,13 @@
 ///
 /// A beacon is sent soon after a change of load, and at an interval otherwise:
 /// in a small zone to all its hosts, in a large one to its two relays. The lead
-/// of a large zone sends the sums of all loads to its hosts. The leads exchange
-/// the sums of their zones, less often than beacons, because traffic between
-/// zones is billed by volume and endpoints of other zones are used only after
-/// those of the own zone; in a small zone the lead forwards them.
+/// of a large zone sends the sums at the zone's endpoints to its hosts. The
+/// leads exchange sums of their zones, less often than beacons, because traffic
+/// between zones is billed by volume and endpoints of other zones are used only
+/// after those of the own zone; in a small zone the lead forwards them. To the
+/// lead of a large zone that of another names only the loads at its endpoints
+/// and the own zone's free slots. What a lead sends stays within a number of
+/// bytes a second, whatever the size of the fleet.
 class beacon_socket
 {
 public:
@@ -50,6 +54,13 @@
     /// @brief Sets the handler of messages that aren't beacons.
     void on_message(message_handler handler);
 
+    /// @brief Sets what is known of the endpoints; without it, all count as the
+    /// own zone's.
+    void set_endpoints(const core::peers::fleet_endpoints& known)
+    {
+        this->endpoints = &known;
+    }
+
     /// @brief Sends a message that isn't a beacon to a host.
     void send_message(const core::peers::peer& peer, std::string_view bytes);
 
@@ -64,8 +75,12 @@
     void send_by_relays(const core::peers::beacon& beacon, core::instant now);
     void send_presence(const core::peers::beacon& beacon, core::instant now);
     void send_to_disks(const core::peers::beacon& beacon, core::instant now);
-    void send_fleet_view(core::peers::beacon beacon);
+    void send_zone_view(core::peers::beacon beacon, core::instant now);
+    void request_view(const core::peers::beacon& beacon, core::instant now);
     void send_summary(core::peers::beacon summary, core::instant now);
+    void send_parts(core::peers::beacon summary, core::instant now);
+    bool takes_parts(const core::peers::peer& lead, core::instant now) const;
+    bool in_zone(std::uint64_t endpoint, std::string_view zone) const;
     void send_to_zone(const std::string& bytes);
     bool large_zone(core::instant now) const;
     core::milliseconds send_interval(core::instant now) const;
@@ -86,6 +101,17 @@
     core::instant last_presence{};
     core::instant last_region_summary{};
     core::instant last_cross_region_summary{};
+    core::instant last_view{};
+    core::instant last_view_request{};
+    core::instant last_parts{};
+    /// Intervals that keep the last views and parts within their bytes a
+    /// second.
+    core::milliseconds view_interval{50};
+    core::milliseconds parts_interval{};
+    core::peers::view_sender views;
+    /// Position, among the zone's hosts, of the next to get a whole view.
+    std::size_t next_whole = 0;
+    const core::peers::fleet_endpoints* endpoints = nullptr;
     bool send_requested = false;
     bool stopped = false;
 };
--- a/source/peers/packing.cpp
+++ b/source/peers/packing.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "packing/bytes.hpp"
+#include "peers/view_packing.hpp"
 
 namespace amaranthhatch::peers
 {
@@ -142,6 +143,12 @@
             packed.cause};
 }
 
+bool has_view(core::peers::beacon_scope scope)
+{
+    return scope == core::peers::beacon_scope::view ||
+           scope == core::peers::beacon_scope::part;
+}
+
 // Reads the number that may precede a beacon; returns how many bytes it took. A
 // beacon itself is an array.
 std::size_t read_included(std::string_view bytes, std::int64_t& included_ms)
@@ -194,7 +201,10 @@
     for (const auto& each : beacon.evidence)
         packed.evidence.push_back(
             {each.endpoint, each.failed, each.answered, each.age.count()});
-    return to_bytes(packed);
+    auto bytes = to_bytes(packed);
+    if (has_view(beacon.scope))
+        bytes += pack(beacon.view);
+    return bytes;
 }
 
 std::string with_included(std::int64_t included_ms, std::string_view beacon)
@@ -206,9 +216,10 @@
 {
     std::int64_t included_ms = 0;
     bytes.remove_prefix(read_included(bytes, included_ms));
-    auto packed = from_bytes<packed_beacon>(bytes, "beacon");
+    std::size_t length = 0;
+    auto packed = from_bytes<packed_beacon>(bytes, "beacon", &length);
     constexpr auto last_scope =
-        static_cast<std::uint8_t>(core::peers::beacon_scope::fleet);
+        static_cast<std::uint8_t>(core::peers::beacon_scope::view_request);
     if (!packed || packed->version != beacon_format ||
         packed->scope > last_scope)
         return std::nullopt;
@@ -243,6 +254,12 @@
         beacon.evidence.push_back({each.endpoint, each.failed, each.answered,
                                    core::milliseconds(std::clamp<std::int64_t>(
                                        each.age_ms, 0, longest_age.count()))});
+    if (!has_view(beacon.scope))
+        return beacon;
+    auto view = unpack_view(bytes.substr(length));
+    if (!view)
+        return std::nullopt;
+    beacon.view = std::move(*view);
     return beacon;
 }
 
--- a/source/peers/packing.hpp
+++ b/source/peers/packing.hpp
@@ -13,7 +13,8 @@
 namespace amaranthhatch::peers
 {
 
-/// @brief Serializes a beacon for a datagram.
+/// @brief Serializes a beacon for a datagram. Views and parts, which small
+/// zones never send, end with a view_message.
 std::string pack(const core::peers::beacon& beacon);
 
 /// @brief Puts the time of the receiver's own loads in front of a serialized
