--- a/source/peers/large_zone_messages.cpp
+++ b/source/peers/large_zone_messages.cpp
@@ -13,7 +13,7 @@
 
 // Bytes a second that a lead sends to its zone, and to the other zones. With
 // beacons to disks and copies of the store, a lead stays under 200 KB/s.
-constexpr std::size_t view_bytes_per_second = 130000;
+constexpr std::size_t view_bytes_per_second = 160000;
 constexpr std::size_t parts_bytes_per_second = 20000;
 // A view is sent no more often than this, which is the time in which an
 // endpoint with eight slots gets some new requests, and no less often than the
--- a/source/peers/view_packing.cpp
+++ b/source/peers/view_packing.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
-#include <limits>
+#include <map>
 #include <vector>
 
 #include "packing/bytes.hpp"
@@ -22,14 +22,6 @@
 // Far more endpoints than a zone has.
 constexpr std::uint64_t largest_index = 1u << 20;
 
-struct packed_capacity
-{
-    std::uint64_t zone = 0;
-    std::uint64_t service = 0;
-    std::uint32_t free = 0;
-    MSGPACK_DEFINE(zone, service, free)
-};
-
 struct packed_view
 {
     std::uint64_t epoch = 0;
@@ -40,7 +32,8 @@
     /// Runs of neighbouring positions: the distance from the run before, the
     /// length, and as many pairs of loads.
     std::vector<std::uint64_t> runs;
-    std::vector<packed_capacity> capacities;
+    /// By service: its key, and pairs of a zone's key and its free slots.
+    std::map<std::uint64_t, std::vector<std::uint64_t>> capacities;
     MSGPACK_DEFINE(epoch, sequence, base, first_key, keys, runs, capacities)
 };
 
@@ -122,7 +115,11 @@
     packed.keys = view.keys;
     packed.runs = runs_of(view.loads);
     for (const auto& each : view.capacities)
-        packed.capacities.push_back({each.zone, each.service, each.free});
+    {
+        auto& pairs = packed.capacities[each.service];
+        pairs.push_back(each.zone);
+        pairs.push_back(each.free);
+    }
     return packing::to_bytes(packed);
 }
 
@@ -141,8 +138,11 @@
                       packed->keys,
                       std::move(*loads),
                       {}};
-    for (const auto& each : packed->capacities)
-        view.capacities.push_back({each.zone, each.service, each.free});
+    for (const auto& [service, pairs] : packed->capacities)
+        for (std::size_t at = 0; at + 1 < pairs.size(); at += 2)
+            view.capacities.push_back(
+                {pairs[at], service,
+                 static_cast<std::uint32_t>(pairs[at + 1])});
     return view;
 }
 
