peers: Find the lead of a large zone by its rank

Where a zone's lead wasn't known, parts and summaries went to its first two hosts by name. Those with a disk, whose capacity is 0, often come first by name and never lead, and in a large zone nobody forwards what they get, so that two such zones' leads would never hear of each other. Now the first two by capacity, then by name, get them; zones of 16 hosts or fewer as before.

A test with sockets, two zones of 18 hosts whose first two never lead, passes: each host knows all requests at its zone's endpoints and the other zone's free slots. It wasn't run without the change.

--- a/source/core/peers/peer_table.cpp
+++ b/source/core/peers/peer_table.cpp
@@ -11,6 +11,8 @@
 {
 
 constexpr std::size_t relay_count = 2;
+// Zones of more hosts than this use relays, as in beacon_socket.cpp.
+constexpr std::size_t direct_zone_size = 16;
 // Reports of some seconds; a lead's sums are older only when they no longer
 // count.
 constexpr std::size_t remembered_reports = 64;
@@ -393,9 +395,17 @@
         if (current)
             out.push_back(lead);
         else
+        {
+            // In a large zone nobody forwards what a host that doesn't lead
+            // gets, so it has to reach a host that may lead.
+            if (hosts.size() > direct_zone_size)
+                std::stable_sort(hosts.begin(), hosts.end(),
+                                 [](const peer* left, const peer* right)
+                                 { return left->capacity > right->capacity; });
             out.insert(out.end(), hosts.begin(),
                        hosts.begin() + static_cast<std::ptrdiff_t>(std::min(
                                            possible_lead_count, hosts.size())));
+        }
     }
     return out;
 }
