--- a/source/peers/packing.cpp
+++ b/source/peers/packing.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "packing/bytes.hpp"
+#include "peers/view_packing.hpp"
 
 namespace amaranthhatch::peers
 {
@@ -116,7 +117,10 @@
     std::uint64_t revision = 0;
     std::vector<packed_entry> entries;
     std::vector<std::string> expired;
-    MSGPACK_DEFINE(revision, entries, expired)
+    /// Absent in messages of earlier versions, which send complete copies.
+    std::uint64_t base = 0;
+    std::vector<std::string> removed;
+    MSGPACK_DEFINE(revision, entries, expired, base, removed)
 };
 
 packed_crash to_packed(const core::quarantine::crash_report& report)
@@ -139,6 +143,12 @@
             packed.cause};
 }
 
+bool has_view(core::peers::beacon_scope scope)
+{
+    return scope == core::peers::beacon_scope::view ||
+           scope == core::peers::beacon_scope::part;
+}
+
 // Reads the number that may precede a beacon; returns how many bytes it took. A
 // beacon itself is an array.
 std::size_t read_included(std::string_view bytes, std::int64_t& included_ms)
@@ -191,7 +201,10 @@
     for (const auto& each : beacon.evidence)
         packed.evidence.push_back(
             {each.endpoint, each.failed, each.answered, each.age.count()});
-    return to_bytes(packed);
+    auto bytes = to_bytes(packed);
+    if (has_view(beacon.scope))
+        bytes += pack(beacon.view);
+    return bytes;
 }
 
 std::string with_included(std::int64_t included_ms, std::string_view beacon)
@@ -203,9 +216,10 @@
 {
     std::int64_t included_ms = 0;
     bytes.remove_prefix(read_included(bytes, included_ms));
-    auto packed = from_bytes<packed_beacon>(bytes, "beacon");
+    std::size_t length = 0;
+    auto packed = from_bytes<packed_beacon>(bytes, "beacon", &length);
     constexpr auto last_scope =
-        static_cast<std::uint8_t>(core::peers::beacon_scope::fleet);
+        static_cast<std::uint8_t>(core::peers::beacon_scope::view_request);
     if (!packed || packed->version != beacon_format ||
         packed->scope > last_scope)
         return std::nullopt;
@@ -240,6 +254,12 @@
         beacon.evidence.push_back({each.endpoint, each.failed, each.answered,
                                    core::milliseconds(std::clamp<std::int64_t>(
                                        each.age_ms, 0, longest_age.count()))});
+    if (!has_view(beacon.scope))
+        return beacon;
+    auto view = unpack_view(bytes.substr(length));
+    if (!view)
+        return std::nullopt;
+    beacon.view = std::move(*view);
     return beacon;
 }
 
@@ -282,6 +302,8 @@
     for (const auto& entry : listing.entries)
         packed.entries.push_back({entry.key, entry.value, entry.revision});
     packed.expired = listing.expired;
+    packed.base = listing.base;
+    packed.removed = listing.removed;
     return to_bytes(packed);
 }
 
@@ -291,7 +313,8 @@
     if (!packed)
         return std::nullopt;
     store::listing listing{
-        store::outcome::done, packed->revision, {}, packed->expired};
+        store::outcome::done, packed->revision, {},
+        packed->expired,      packed->base,     packed->removed};
     for (const auto& entry : packed->entries)
         listing.entries.push_back(
             {entry.key, entry.value, entry.revision, false});
