http: Bound what all callers of a server take together

Cause: the buffer for reading had no limit, the parser's limit for heads doesn't cover trailers and chunk extensions, and nothing bounded the sum of the bodies being received or the number of connections. A failed accept was tried again without a pause. A body over the limit was refused by a close with unread bytes, which may hide the answer.

Change: http/request_budget is one memory budget for requests, derived from limits.memory_mb: an eighth for callers, a quarter for other hosts. At its limit the largest slow request ends first, else the one begun last, with 503 before it reaches its handler. Connections are bounded below limits.max_fds, idle ones are closed first. Each is counted in hatch_callers_refused_total{reason} and logged as caller_refused.

--- a/source/host/host_runtime.cpp
+++ b/source/host/host_runtime.cpp
@@ -9,6 +9,7 @@
 #include "host/graceful_stop.hpp"
 #include "host/registration.hpp"
 #include "http/buffered_call.hpp"
+#include "http/descriptor_limit.hpp"
 #include "logging/event.hpp"
 #include "peers/packing.hpp"
 
@@ -90,6 +91,29 @@
     return settings.response_bytes * longest_responses;
 }
 
+// Shares of the memory for what is received: from callers, and from other
+// hosts, whose calls carry whole jobs and copies of the store.
+constexpr std::size_t caller_memory_share = 8;
+constexpr std::size_t internal_memory_share = 4;
+// Longest body of an internal call, where memory allows.
+constexpr std::size_t internal_body_bytes = 64u << 20;
+// Shares of the descriptors: a half for callers, an eighth for other hosts, and
+// a small number for each of readiness checks and seeds. The rest stays for
+// calls to endpoints, peers and the store, and for the disk.
+constexpr std::size_t caller_descriptor_share = 2;
+constexpr std::size_t internal_descriptor_share = 8;
+constexpr std::size_t minor_descriptor_share = 32;
+
+std::size_t caller_budget_bytes(const host_settings& settings)
+{
+    return settings.memory_bytes / caller_memory_share;
+}
+
+std::size_t internal_budget_bytes(const host_settings& settings)
+{
+    return settings.memory_bytes / internal_memory_share;
+}
+
 } // namespace
 
 host_runtime::host_runtime(boost::asio::io_context& loop,
@@ -101,6 +125,10 @@
       current_settings(std::move(settings)),
       responses(std::make_shared<http::response_budget>(
           loop, response_budget_bytes(this->current_settings))),
+      caller_requests(std::make_shared<http::request_budget>(
+          caller_budget_bytes(this->current_settings))),
+      internal_requests(std::make_shared<http::request_budget>(
+          internal_budget_bytes(this->current_settings))),
       layout(std::move(layout)), disk_id(std::move(disk_id)),
       own_incarnation(random_number()),
       peer_hosts(this->current_settings.name, this->current_settings.zone,
@@ -200,13 +228,44 @@
     return *this->mirrors[static_cast<std::size_t>(part)];
 }
 
+http::server_bounds
+host_runtime::bounds(std::shared_ptr<http::request_budget> requests,
+                     std::size_t descriptor_share)
+{
+    http::server_bounds out;
+    out.requests = std::move(requests);
+    out.connections =
+        http::descriptor_limit(this->current_settings.max_descriptors) /
+        descriptor_share;
+    out.refused = [this](std::string_view reason, std::string_view peer)
+    {
+        this->metrics.count("hatch_callers_refused_total", "reason", reason);
+        logging::event(logging::level::warning, "caller_refused")
+            .with("step", "receive request")
+            .with("peer", peer)
+            .with("reason", reason);
+    };
+    return out;
+}
+
+http::server_bounds host_runtime::caller_bounds()
+{
+    return this->bounds(this->caller_requests, caller_descriptor_share);
+}
+
+http::server_bounds host_runtime::minor_port_bounds()
+{
+    return this->bounds(this->caller_requests, minor_descriptor_share);
+}
+
 void host_runtime::start()
 {
-    auto internal_limits = []
+    auto internal_limits = [this]
     {
         // Bodies of internal calls hold complete jobs and copies of the store.
         http::server_limits limits;
-        limits.body_bytes = 64u << 20;
+        limits.body_bytes = std::min(
+            internal_body_bytes, internal_budget_bytes(this->current_settings));
         limits.idle_time = core::milliseconds(30000);
         return limits;
     };
@@ -214,11 +273,13 @@
     { this->handle_internal_call(std::move(exchange)); };
     this->internal_server = std::make_unique<http::async_server>(
         this->loop, this->current_settings.internal_address, internal_limits,
-        handle);
+        handle, nullptr,
+        this->bounds(this->internal_requests, internal_descriptor_share));
     if (!this->current_settings.seed_address.empty())
         this->seed_server = std::make_unique<http::async_server>(
             this->loop, this->current_settings.seed_address, internal_limits,
-            handle);
+            handle, nullptr,
+            this->bounds(this->internal_requests, minor_descriptor_share));
     for (const auto& mirror : this->mirrors)
         mirror->start();
     this->register_host();
@@ -231,6 +292,8 @@
     this->current_settings = changed;
     this->request_quotas.set_slack(changed.quota_slack);
     this->responses->set_limit(response_budget_bytes(changed));
+    this->caller_requests->set_limit(caller_budget_bytes(changed));
+    this->internal_requests->set_limit(internal_budget_bytes(changed));
     this->mirrors[static_cast<std::size_t>(mirrored_part::endpoints)]
         ->set_interval(endpoint_interval(this->current_settings));
     this->mirrors[static_cast<std::size_t>(mirrored_part::configuration)]
--- a/source/host/host_runtime.hpp
+++ b/source/host/host_runtime.hpp
@@ -62,6 +62,13 @@
                  host_settings settings, store_layout layout,
                  std::string disk_id);
 
+    /// @brief Bounds of the server for callers.
+    http::server_bounds caller_bounds();
+
+    /// @brief Bounds of servers that answer short questions, such as the
+    /// balancer's.
+    http::server_bounds minor_port_bounds();
+
     /// @brief Registers a handler for internal calls with a path prefix.
     void serve(std::string prefix, handler handle);
 
@@ -124,6 +131,8 @@
     void load_changed() { this->socket.send_soon(); }
 
 private:
+    http::server_bounds bounds(std::shared_ptr<http::request_budget> requests,
+                               std::size_t descriptor_share);
     core::peers::beacon compose_beacon();
     void record_confirmation(const core::peers::beacon& received);
     core::milliseconds configuration_interval() const;
@@ -159,6 +168,8 @@
     store::async_store& store;
     host_settings current_settings;
     std::shared_ptr<http::response_budget> responses;
+    std::shared_ptr<http::request_budget> caller_requests;
+    std::shared_ptr<http::request_budget> internal_requests;
     store_layout layout;
     std::string disk_id;
     std::uint64_t own_incarnation;
--- a/source/host/host_settings.hpp
+++ b/source/host/host_settings.hpp
@@ -40,6 +40,10 @@
     std::uint64_t disk_bytes = 0;
     /// Longest answer of an endpoint that is read; longer ones are broken.
     std::size_t response_bytes = 16u << 20;
+    /// Memory of the whole process in bytes.
+    std::size_t memory_bytes = 128'000'000;
+    /// Descriptors that the process may open; 0: the system's limit.
+    std::size_t max_descriptors = 0;
     /// Interval at which an endpoint renews its entry in the store.
     core::milliseconds heartbeat{};
     /// An endpoint that announced that it leaves gets no new request after
--- a/source/http/async_server.hpp
+++ b/source/http/async_server.hpp
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "http/exchange.hpp"
+#include "http/request_budget.hpp"
 #include "http/response_budget.hpp"
 
 namespace amaranthhatch::http
@@ -23,6 +24,20 @@
     std::chrono::milliseconds idle_time{15000};
 };
 
+/// @brief Bounds on what all callers of a server take together.
+struct server_bounds
+{
+    /// Memory for requests, shared with other servers of the process; nullptr:
+    /// not bounded.
+    std::shared_ptr<request_budget> requests;
+    /// Connections that are open at once; 0: not bounded. At the bound, idle
+    /// ones are closed first.
+    std::size_t connections = 0;
+    /// Called for each refusal or end, with its reason and the caller's
+    /// address.
+    std::function<void(std::string_view reason, std::string_view peer)> refused;
+};
+
 /// @brief One request and the functions that send its response.
 ///
 /// Exactly one of respond(), finish() after begin(), or abort() ends the
@@ -74,7 +89,8 @@
 /// @brief An HTTP/1.1 server on one event loop.
 ///
 /// Requests with a body or headers over the limits are rejected with 413 or
-/// 431 and don't reach the handler.
+/// 431, slow ones with 408, and those without memory for them with 503. None of
+/// them reaches the handler.
 class async_server
 {
 public:
@@ -86,7 +102,8 @@
     /// What callers leave unread counts against the budget, if there is one.
     async_server(boost::asio::io_context& loop, const std::string& address,
                  limit_source limits, handler handle,
-                 std::shared_ptr<response_budget> budget = nullptr);
+                 std::shared_ptr<response_budget> budget = nullptr,
+                 server_bounds bounds = {});
     ~async_server();
     async_server(const async_server&) = delete;
     async_server& operator=(const async_server&) = delete;
--- a/source/http/server.cpp
+++ b/source/http/server.cpp
@@ -1,5 +1,6 @@
 #include "http/server.hpp"
 
+#include <algorithm>
 #include <atomic>
 #include <future>
 #include <thread>
@@ -10,6 +11,7 @@
 
 #include "errors/contain.hpp"
 #include "http/async_server.hpp"
+#include "http/descriptor_limit.hpp"
 
 namespace amaranthhatch::http
 {
@@ -21,6 +23,11 @@
 constexpr std::size_t unsent_limit_bytes = 1u << 20;
 constexpr std::chrono::milliseconds unsent_poll{5};
 constexpr std::chrono::milliseconds idle_limit{60000};
+// Memory for requests that are being received and handled. It is raised to hold
+// two of the longest.
+constexpr std::size_t request_memory_bytes = 64u << 20;
+// Share of the descriptors for callers; the rest is for outgoing calls.
+constexpr std::size_t connection_share = 2;
 
 } // namespace
 
@@ -155,10 +162,15 @@
         out.header_time = idle_limit;
         return out;
     };
+    server_bounds bounds;
+    bounds.requests = std::make_shared<request_budget>(
+        std::max(request_memory_bytes, 2 * self.options.body_limit_bytes));
+    bounds.connections = descriptor_limit(0) / connection_share;
     self.listener = std::make_unique<async_server>(
         self.loop, self.options.address, limits,
         [state = this->held.get()](std::shared_ptr<server_exchange> exchange)
-        { state->start_handler(exchange); });
+        { state->start_handler(exchange); },
+        nullptr, std::move(bounds));
     self.thread =
         std::thread([state = this->held.get()] { state->loop.run(); });
 }
--- a/tests/platform/platform_fleet.cpp
+++ b/tests/platform/platform_fleet.cpp
@@ -154,6 +154,8 @@
         data.empty() ? this->memory.entry_mb : this->memory.batch_mb;
     if (memory_mb > 0)
         out << "memory_mb = " << memory_mb << "\n";
+    if (this->memory.max_fds > 0)
+        out << "max_fds = " << this->memory.max_fds << "\n";
     out << "[tolerate]\nmachines = 1\n"
         << "[bounds]\ndrain_ms = 1500\ngrace_s = 8\nconfig_apply_ms = 2500\n"
         << "retry_after_s = 0\nstatus_s = 120\nquota_overshoot = 0.1\n"
--- a/tests/platform/platform_fleet.hpp
+++ b/tests/platform/platform_fleet.hpp
@@ -12,11 +12,13 @@
 namespace amaranthhatch::tests
 {
 
-/// @brief Memory that the settings give the programs; 0: they name none.
+/// @brief Limits that the settings give the programs; 0: they name none.
 struct program_memory
 {
     int entry_mb = 0;
     int batch_mb = 0;
+    /// Descriptors that each program may open.
+    int max_fds = 0;
 };
 
 /// @brief The platform's programs on loopback, with its store and workers.
