hedging: Ask nothing of the quarantine before a second attempt is due

Cause: each timer of a resumable stream looked at the quarantine, also with hedging off.

Change: whether the second attempt is due is checked first; it never is with a limit of 0.

--- a/source/forward/online_request.cpp
+++ b/source/forward/online_request.cpp
@@ -622,6 +622,8 @@
 // endpoints ever work on the request.
 void online_request::hedge_if_slow(core::instant now)
 {
+    if (!this->hedge.is_due(now))
+        return;
     bool quarantine_concerned =
         this->trial != nullptr || now < this->suspected_until ||
         this->runtime.quarantine().blocked_for(this->prompt.parts);
--- a/source/forward/request_hedge.cpp
+++ b/source/forward/request_hedge.cpp
@@ -75,11 +75,18 @@
     return until > core::milliseconds(0) ? until : recheck_interval;
 }
 
+bool request_hedge::is_due(core::instant now) const
+{
+    if (!this->waiting || this->hedged)
+        return false;
+    auto delay = this->policy.delay(this->kind);
+    return delay && now - this->sent >= *delay;
+}
+
 const core::endpoints::endpoint*
 request_hedge::start(const request_state& state, core::instant now)
 {
-    auto delay = this->policy.delay(this->kind);
-    if (!this->waiting || this->hedged || !delay || now - this->sent < *delay)
+    if (!this->is_due(now))
         return nullptr;
     std::vector<std::string> excluded(state.excluded.begin(),
                                       state.excluded.end());
--- a/source/forward/request_hedge.hpp
+++ b/source/forward/request_hedge.hpp
@@ -38,6 +38,10 @@
     /// @brief Time until the second attempt may be due; nothing if none will.
     std::optional<core::milliseconds> time_until_due(core::instant now) const;
 
+    /// @brief True if the current attempt has been without an event for the
+    /// delay; never without a limit for second attempts.
+    bool is_due(core::instant now) const;
+
     /// @brief The request's state that only the request knows.
     struct request_state
     {
--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -118,6 +118,16 @@
         CHECK_FALSE(core::quarantine::is_request(part));
 }
 
+// Guards against a size class that is taken from the wrong number.
+TEST_CASE("prompt size, first of two counts, is decoded")
+{
+    CHECK(platform::decode_prompt_tokens("450,26") == 450);
+    CHECK(platform::decode_prompt_tokens(" 7") == 7);
+    for (const auto* text :
+         {"", ",26", "x,26", "-4,26", "99999999999999999999"})
+        CHECK(platform::decode_prompt_tokens(text) == 0);
+}
+
 TEST_CASE("platform settings, the sample, are read; unknown fields ignored")
 {
     auto read = platform::read_node_settings(std::string(HATCH_CASES) +
