endpoints: Judge endpoints by the runs of all hosts

Cause: each host found a faulty endpoint by itself, so that each of 68 hosts lost callers' requests at it. Change: hosts report cumulative counts of runs at endpoints with recent failures in their beacons; core/endpoints/shared_health keeps a decaying score per endpoint and zone, ejects, and readmits by trial runs with work that may be repeated. Requests that may run once only avoid suspected endpoints. Ruled out: ratios over a window (dozens of earlier answers hide a sudden fault); suspicion after one failure across zones (it broke an existing test).

--- a/source/batches/item_run.cpp
+++ b/source/batches/item_run.cpp
@@ -225,7 +225,7 @@
 {
     this->call->cancel();
     this->has_stalled = true;
-    this->finish(run_state::retry, run_outcome::broken, "stalled");
+    this->finish(run_state::retry, run_outcome::abandoned, "stalled");
 }
 
 void item_run::on_end(http::call_end call_result, std::string_view detail)
@@ -247,7 +247,7 @@
     if (detail == http::over_limit_detail)
         this->drop_events(detail);
     if (call_result != http::call_end::complete)
-        return this->finish(run_state::retry, run_outcome::broken, detail);
+        return this->finish(run_state::retry, this->broken_outcome(), detail);
     if (this->not_run)
         return this->finish(run_state::retry,
                             this->status == 421 ? run_outcome::replaced
@@ -268,11 +268,22 @@
     }
     auto reason = std::to_string(this->status);
     if (this->status == 500)
-        return this->finish(run_state::failed, run_outcome::answered, reason);
+        return this->finish(run_state::failed, run_outcome::error_status,
+                            reason);
     this->endpoint_error = true;
     this->finish(run_state::retry, run_outcome::broken, reason);
 }
 
+// A failure that the quarantine attributes to the item's request says nothing
+// of the endpoint.
+run_outcome item_run::broken_outcome() const
+{
+    bool by_request =
+        this->trial ||
+        this->scheduler.runtime.quarantine().blocked_for(this->prompt.parts);
+    return by_request ? run_outcome::abandoned : run_outcome::broken;
+}
+
 void item_run::finish(run_state final_state, run_outcome endpoint_outcome,
                       std::string_view reason)
 {
--- a/source/batches/item_run.hpp
+++ b/source/batches/item_run.hpp
@@ -88,6 +88,7 @@
     void end_over_limit(std::string_view reason);
     void drop_events(std::string_view reason);
     void update_flow();
+    core::endpoints::run_outcome broken_outcome() const;
     void finish(run_state final_state,
                 core::endpoints::run_outcome endpoint_outcome,
                 std::string_view reason);
--- a/source/core/endpoints/endpoint_table.cpp
+++ b/source/core/endpoints/endpoint_table.cpp
@@ -56,7 +56,8 @@
 endpoint_table::endpoint_table(
     std::string own_zone, std::map<std::string, std::string> region_of_zone,
     const peers::peer_table& peer_hosts)
-    : own_zone(std::move(own_zone)), region_of_zone(std::move(region_of_zone)),
+    : fleet_health(peer_hosts.name(), peer_hosts.incarnation(), own_zone),
+      own_zone(std::move(own_zone)), region_of_zone(std::move(region_of_zone)),
       peer_hosts(peer_hosts), leaving(leaving_limit)
 {
 }
@@ -65,10 +66,13 @@
 {
     for (auto& [id, record] : this->records)
         record.listed = false;
+    std::map<std::uint64_t, std::string> services;
     for (auto& info : listed)
     {
         auto& record = this->records[info.id];
         record.id_hash = load_key(info.id);
+        record.health_key = shared_health::key(info.id, info.started_ms);
+        services[record.health_key] = info.service;
         record.listed = true;
         record.info = std::move(info);
         this->update_leaving(record);
@@ -76,6 +80,7 @@
     std::erase_if(
         this->records, [](const auto& record)
         { return !record.second.listed && record.second.runs.empty(); });
+    this->fleet_health.set_listed(std::move(services));
 }
 
 void endpoint_table::update_leaving(endpoint_record& record) const
@@ -124,9 +129,9 @@
 }
 
 std::vector<endpoint_table::candidate>
-endpoint_table::candidates(std::string_view service,
-                           std::span<const std::string> excluded,
-                           instant now) const
+endpoint_table::all_candidates(std::string_view service,
+                               std::span<const std::string> excluded,
+                               instant now) const
 {
     std::vector<candidate> out;
     for (const auto& [id, record] : this->records)
@@ -223,9 +228,30 @@
 
 choice endpoint_table::choose_online(std::string_view service,
                                      std::span<const std::string> excluded,
-                                     instant now, double uniform) const
+                                     instant now, double uniform,
+                                     bool repeatable) const
+{
+    auto from = this->all_candidates(service, excluded, now);
+    if (!this->fleet_health.active())
+        return this->choose_among(from, service, uniform);
+    auto work = repeatable ? shared_health::trial_work::repeatable
+                           : shared_health::trial_work::once_only;
+    if (const auto* trial = this->find_trial(from, work, now))
+        return this->choice_of(trial, service);
+    auto sound = this->without_ejected(from);
+    if (!repeatable)
+    {
+        auto chosen = this->choose_unsuspected(sound, service, now, uniform);
+        if (chosen.chosen != nullptr)
+            return chosen;
+    }
+    return this->choose_among(sound.empty() ? from : sound, service, uniform);
+}
+
+choice endpoint_table::choose_among(std::span<const candidate> from,
+                                    std::string_view service,
+                                    double uniform) const
 {
-    auto from = this->candidates(service, excluded, now);
     const candidate* chosen = nullptr;
     if (this->peer_hosts.follows_lead())
     {
@@ -251,7 +277,8 @@
                                       instant now) const
 {
     double free = 0;
-    for (const auto& each : this->candidates(service, {}, now))
+    for (const auto& each :
+         this->without_ejected(this->all_candidates(service, {}, now)))
         free += std::max(0.0, usable_for_batch(each, allowance) - each.total);
     return free;
 }
@@ -260,7 +287,11 @@
                                     batch_allowance allowance, instant now,
                                     double uniform) const
 {
-    auto from = this->candidates(service, {}, now);
+    auto from = this->all_candidates(service, {}, now);
+    auto item = shared_health::trial_work::batch_item;
+    if (const auto* trial = this->find_trial(from, item, now))
+        return {&trial->record->info, {}, false};
+    from = this->without_ejected(std::move(from));
     std::erase_if(from, [&](const candidate& each)
                   { return each.total >= usable_for_batch(each, allowance); });
     const candidate* chosen = nullptr;
@@ -297,7 +328,11 @@
     record.runs.emplace(
         key.number,
         running_request{
-            kind, now, {record.info.started_ms, record.info.address}});
+            kind,
+            now,
+            {record.info.started_ms, record.info.address},
+            record.health_key,
+            this->fleet_health.record_begin(record.health_key, now)});
     (kind == load_kind::online ? record.online : record.batch)++;
     this->version++;
     return key;
@@ -335,10 +370,11 @@
         return;
     auto kind = open_run->second.kind;
     auto slot_time = now - open_run->second.started;
+    this->record_health(open_run->second, result, now);
     record.runs.erase(open_run);
     (kind == load_kind::online ? record.online : record.batch)--;
     this->version++;
-    if (result == run_outcome::answered)
+    if (result == run_outcome::answered || result == run_outcome::error_status)
     {
         record.failures = 0;
         record.last_progress = now;
@@ -359,7 +395,9 @@
     record.last_failure = now;
     record.failures++;
     // A single broken response also happens on healthy endpoints.
-    if (result == run_outcome::broken && record.failures < 2)
+    bool broken =
+        result == run_outcome::broken || result == run_outcome::abandoned;
+    if (broken && record.failures < 2)
         return;
     if (result == run_outcome::replaced)
     {
@@ -421,7 +459,10 @@
     return static_cast<std::uint32_t>(std::count_if(
         this->records.begin(), this->records.end(),
         [&](const auto& record)
-        { return this->is_available(record.second, service, now); }));
+        {
+            return this->is_available(record.second, service, now) &&
+                   !this->fleet_health.is_ejected(record.second.health_key);
+        }));
 }
 
 } // namespace amaranthhatch::core::endpoints
--- a/source/core/endpoints/endpoint_table.hpp
+++ b/source/core/endpoints/endpoint_table.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "core/endpoints/leaving_marks.hpp"
+#include "core/endpoints/shared_health.hpp"
 #include "core/instant.hpp"
 #include "core/peers/peer_table.hpp"
 
@@ -45,6 +46,12 @@
     unreachable,
     /// The response was incomplete or never arrived.
     broken,
+    /// As broken, but no evidence against the endpoint for other hosts: the
+    /// quarantine attributes it to the request, or this host ended it for
+    /// lack of time or memory.
+    abandoned,
+    /// The endpoint answered with a server error.
+    error_status,
     /// Another instance now runs at the address.
     replaced,
     /// This host cancelled the request; doesn't affect the endpoint's health.
@@ -109,10 +116,12 @@
     /// queue. Where the loads come from the zone's lead, slots are drawn at
     /// random: many hosts then act on one view that is some hundred
     /// milliseconds old, and would all choose its best endpoint. Skips the
-    /// endpoints in excluded; uniform lies in [0, 1).
+    /// endpoints in excluded; uniform lies in [0, 1). Requests that may be
+    /// repeated also run as trials of ejected endpoints; others avoid
+    /// suspected ones.
     choice choose_online(std::string_view service,
                          std::span<const std::string> excluded, instant now,
-                         double uniform) const;
+                         double uniform, bool repeatable = false) const;
 
     /// @brief Chooses the best endpoint with a free slot for a batch request.
     ///
@@ -140,6 +149,17 @@
     /// @brief Records the end and result of a request.
     void end(const run_key& run, run_outcome result, instant now);
 
+    /// @brief Merges the evidence of another host's beacon.
+    void receive_evidence(const peers::beacon& message, instant now);
+
+    /// @brief Counts stalled runs and judges the endpoints; to be called often.
+    void check_health(instant now);
+
+    shared_health& health() { return this->fleet_health; }
+
+    /// @brief The endpoint of a key in evidence; null if it isn't listed.
+    const endpoint* find_by_health_key(std::uint64_t key) const;
+
     /// @brief Returns by how much the requests of all hosts exceed an
     /// endpoint's slots.
     std::uint32_t excess(std::string_view endpoint) const;
@@ -165,6 +185,10 @@
         /// The endpoint's incarnation that got the request; its entry may name
         /// another one by now.
         incarnation sent_to;
+        std::uint64_t health_key = 0;
+        /// True if it was sent to an ejected endpoint.
+        bool trial = false;
+        bool stalled = false;
     };
 
     struct endpoint_record
@@ -174,6 +198,7 @@
         /// True if this incarnation has said in an answer that it leaves.
         bool leaving = false;
         std::uint64_t id_hash = 0;
+        std::uint64_t health_key = 0;
         std::map<std::uint64_t, running_request> runs;
         std::uint32_t online = 0;
         std::uint32_t batch = 0;
@@ -194,14 +219,26 @@
     void update_leaving(endpoint_record& record) const;
     static double usable_for_batch(const candidate& each,
                                    batch_allowance allowance);
-    std::vector<candidate> candidates(std::string_view service,
-                                      std::span<const std::string> excluded,
-                                      instant now) const;
+    std::vector<candidate> without_ejected(std::vector<candidate> from) const;
     static const candidate* draw(std::span<const candidate> from,
                                  double candidate::*used, double uniform);
     const candidate* best(std::span<const candidate> from,
                           double uniform) const;
     choice choice_of(const candidate* chosen, std::string_view service) const;
+    std::vector<candidate> all_candidates(std::string_view service,
+                                          std::span<const std::string> excluded,
+                                          instant now) const;
+    const candidate* find_trial(std::span<const candidate> from,
+                                shared_health::trial_work work,
+                                instant now) const;
+    int distance_to(const choice& made) const;
+    choice choose_unsuspected(std::span<const candidate> from,
+                              std::string_view service, instant now,
+                              double uniform) const;
+    choice choose_among(std::span<const candidate> from,
+                        std::string_view service, double uniform) const;
+    void record_health(const running_request& ended, run_outcome result,
+                       instant now);
     bool is_available(const endpoint_record& record, std::string_view service,
                       instant now) const;
     bool is_unresponsive(const endpoint_record& record, instant now) const;
@@ -210,6 +247,7 @@
                         instant now);
     void record_slot_time(std::string_view service, milliseconds slot_time);
 
+    shared_health fleet_health;
     std::string own_zone;
     std::map<std::string, std::string> region_of_zone;
     const peers::peer_table& peer_hosts;
--- a/source/core/peers/beacon.hpp
+++ b/source/core/peers/beacon.hpp
@@ -50,14 +50,36 @@
     std::uint64_t tokens = 0;
 };
 
-/// @brief What the requests of one or more hosts showed of an endpoint.
+/// @brief How a run at an endpoint failed.
+enum class failure_kind : std::uint8_t
+{
+    /// The response was reset, cut or unusable.
+    broken,
+    /// The endpoint answered with a server error.
+    error_status,
+    /// The endpoint sent nothing.
+    stalled
+};
+
+/// @brief What the requests of one or more hosts showed of an endpoint since
+/// its first recent failure.
 struct endpoint_evidence
 {
-    /// Hash of the endpoint's identifier, as in endpoint_load.
+    /// Hash of the endpoint's identifier and start.
     std::uint64_t endpoint = 0;
+    /// Cumulative counts.
     std::uint32_t failed = 0;
     std::uint32_t answered = 0;
-    /// Time since the newest of these runs ended.
+    /// Trial runs of the ejected endpoint that were answered.
+    std::uint32_t cleared = 0;
+    /// The kind of the newest failure.
+    failure_kind reason = failure_kind::broken;
+    /// Hash of the reporting host's or zone's name; 0: the sender's, of the
+    /// scope that its beacon has.
+    std::uint64_t reporter = 0;
+    /// Hash of the reporter's zone; 0: the sender's.
+    std::uint64_t zone = 0;
+    /// Time since the newest failure became known to the sender.
     milliseconds age{};
 };
 
--- a/source/core/peers/peer_table.hpp
+++ b/source/core/peers/peer_table.hpp
@@ -68,6 +68,9 @@
                std::uint64_t own_incarnation, limits bounds,
                std::uint32_t own_capacity = 0);
 
+    const std::string& name() const { return this->own_name; }
+    std::uint64_t incarnation() const { return this->own_incarnation; }
+
     /// @brief Applies a beacon; false where it is ignored, because it is older
     /// than one already applied or is this host's own.
     bool receive(const beacon& message, instant now);
--- a/source/forward/online_request.cpp
+++ b/source/forward/online_request.cpp
@@ -166,8 +166,11 @@
     if (suspected)
         return this->attempt_later();
     auto& endpoints = this->runtime.endpoints();
-    auto choice = endpoints.choose_online(
-        this->service, this->excluded_endpoints, now, host::uniform());
+    bool may_fail = !this->trial && this->repeatable() &&
+                    this->possible_runs + 1 < this->route.max_attempts;
+    auto choice =
+        endpoints.choose_online(this->service, this->excluded_endpoints, now,
+                                host::uniform(), may_fail);
     auto allowed_wait = std::chrono::duration_cast<core::milliseconds>(
         this->route.target_latency * queue_share);
     if (this->possible_runs == 0 && choice.chosen == nullptr)
@@ -481,10 +484,10 @@
     bool complete = end == http::call_end::complete &&
                     this->unusable_reason.empty() &&
                     this->events.incomplete_event().empty();
-    this->end_run(complete ? run_outcome::answered : run_outcome::broken);
     if (end == http::call_end::closed &&
         this->runtime.quarantine().record_close(this->prompt, this->status))
         this->suspected_until = host::boot_now() + suspicion_limit;
+    this->end_run(this->outcome_of_run(complete, reason));
     if (complete)
     {
         bool generated = this->status >= 200 && this->status < 300 &&
@@ -501,6 +504,19 @@
                                                    : this->unusable_reason);
 }
 
+// What a run that may have been executed shows of its endpoint.
+run_outcome online_request::outcome_of_run(bool complete,
+                                           std::string_view reason) const
+{
+    if (complete)
+        return this->status >= 500 ? run_outcome::error_status
+                                   : run_outcome::answered;
+    bool by_request = this->trial || this->runtime.quarantine().blocked_for(
+                                         this->prompt.parts);
+    return by_request || reason == memory_detail ? run_outcome::abandoned
+                                                 : run_outcome::broken;
+}
+
 void online_request::on_not_run()
 {
     if (this->trial)
@@ -580,7 +596,7 @@
     if (now >= this->deadline)
         // Its caller didn't read it, or others took the memory.
         return this->give_up(this->paused ? run_outcome::cancelled
-                                          : run_outcome::broken,
+                                          : run_outcome::abandoned,
                              "timeout");
     if (this->paused)
         this->record_pause();
@@ -601,7 +617,7 @@
                       alternative.expected_wait == core::milliseconds(0);
         if (useful)
         {
-            this->drop_call(run_outcome::broken);
+            this->drop_call(run_outcome::abandoned);
             this->possible_runs++;
             this->excluded_endpoints.push_back(this->last_endpoint);
             this->runtime.metrics_recorder().count("hatch_retries_total",
--- a/source/forward/online_request.hpp
+++ b/source/forward/online_request.hpp
@@ -74,6 +74,8 @@
     bool may_retry() const;
     bool ends_before_stop() const;
     bool has_time_left() const;
+    core::endpoints::run_outcome outcome_of_run(bool complete,
+                                                std::string_view reason) const;
     void end_run(core::endpoints::run_outcome result);
     void drop_call(core::endpoints::run_outcome result);
     void on_timer();
--- a/source/host/host_runtime.cpp
+++ b/source/host/host_runtime.cpp
@@ -121,10 +121,13 @@
           [this](const core::peers::beacon& received)
           {
               this->prompt_quarantine.receive(received);
+              this->shared_endpoint_health.receive(received);
               this->record_confirmation(received);
               for (const auto& callback : this->beacon_listeners)
                   callback();
           }),
+      shared_endpoint_health(this->table, this->peer_hosts, this->socket,
+                             metrics),
       request_quotas(loop, this->current_settings.name, this->own_incarnation,
                      this->socket, this->peer_hosts, metrics),
       listeners(part_count), check_timer(loop), registration_timer(loop),
@@ -330,6 +333,7 @@
     for (const auto& mirror : this->mirrors)
         beacon.copies.push_back({mirror->changed(), mirror->as_of()});
     this->prompt_quarantine.add_to(beacon);
+    this->shared_endpoint_health.add_to(beacon);
     for (const auto& extend : this->beacon_extenders)
         extend(beacon);
     return beacon;
@@ -445,6 +449,7 @@
     auto now = boot_now();
     this->peer_hosts.expire(now);
     this->prompt_quarantine.check();
+    this->shared_endpoint_health.check();
     const auto& listed = this->mirror_of(mirrored_part::hosts);
     this->trial_claims.check(listed);
     if (this->peer_hosts.leads_zone(now))
--- a/source/host/host_runtime.hpp
+++ b/source/host/host_runtime.hpp
@@ -11,6 +11,7 @@
 
 #include "core/endpoints/endpoint_table.hpp"
 #include "core/peers/peer_table.hpp"
+#include "host/endpoint_health.hpp"
 #include "host/host_settings.hpp"
 #include "host/quarantine_entries.hpp"
 #include "host/quarantine_trials.hpp"
@@ -168,6 +169,7 @@
     quarantine_entries quarantined_parts;
     quarantine_trials trial_claims;
     peers::beacon_socket socket;
+    endpoint_health shared_endpoint_health;
     workspace_quotas request_quotas;
     std::vector<std::unique_ptr<store::mirror>> mirrors;
     std::vector<std::vector<change_callback>> listeners;
--- a/source/peers/beacon_socket.cpp
+++ b/source/peers/beacon_socket.cpp
@@ -58,6 +58,7 @@
     auto out = beacon;
     out.scope = core::peers::beacon_scope::presence;
     out.loads.clear();
+    out.evidence.clear();
     out.next_within = next_within;
     return out;
 }
@@ -143,6 +144,11 @@
     this->handle_message = std::move(handler);
 }
 
+void beacon_socket::set_evidence(evidence_source source)
+{
+    this->evidence = std::move(source);
+}
+
 void beacon_socket::send_message(const core::peers::peer& peer,
                                  std::string_view bytes)
 {
@@ -276,6 +282,7 @@
 void beacon_socket::send_fleet_view(core::peers::beacon beacon)
 {
     beacon.scope = core::peers::beacon_scope::fleet;
+    beacon.evidence = this->evidence(beacon.scope);
     beacon.echoes.clear();
     std::map<std::uint64_t, core::peers::endpoint_load> sums;
     for (const auto& load : beacon.loads)
@@ -310,6 +317,7 @@
     if (send_across_regions)
         this->last_cross_region_summary = now;
     summary.scope = core::peers::beacon_scope::zone;
+    summary.evidence = this->evidence(summary.scope);
     summary.echoes.clear();
     summary.backlogs.clear();
     auto zone_loads = this->peers.zone_loads();
--- a/source/peers/beacon_socket.hpp
+++ b/source/peers/beacon_socket.hpp
@@ -34,6 +34,9 @@
 {
 public:
     using beacon_source = std::function<core::peers::beacon()>;
+    using evidence_source =
+        std::function<std::vector<core::peers::endpoint_evidence>(
+            core::peers::beacon_scope)>;
     using beacon_callback = std::function<void(const core::peers::beacon&)>;
     /// Handles a message of another kind; bytes are those that were passed to
     /// send_message().
@@ -50,6 +53,9 @@
     /// @brief Sets the handler of messages that aren't beacons.
     void on_message(message_handler handler);
 
+    /// @brief Sets where the health evidence of zones and the fleet comes from.
+    void set_evidence(evidence_source source);
+
     /// @brief Sends a message that isn't a beacon to a host.
     void send_message(const core::peers::peer& peer, std::string_view bytes);
 
@@ -78,6 +84,8 @@
     beacon_source compose;
     beacon_callback on_beacon;
     message_handler handle_message;
+    evidence_source evidence = [](core::peers::beacon_scope)
+    { return std::vector<core::peers::endpoint_evidence>(); };
     std::array<char, 65536> buffer{};
     boost::asio::ip::udp::endpoint sender;
     core::instant last_sent{};
--- a/source/peers/packing.cpp
+++ b/source/peers/packing.cpp
@@ -18,6 +18,8 @@
 constexpr std::uint32_t beacon_format = 6;
 // Bounds how long an unreadable or hostile beacon makes its sender look alive.
 constexpr core::milliseconds longest_interval{5000};
+constexpr auto last_reason =
+    static_cast<std::uint8_t>(core::peers::failure_kind::stalled);
 // Older reports of crashes count nowhere.
 constexpr core::milliseconds longest_age{3600000};
 
@@ -71,8 +73,13 @@
     std::uint64_t endpoint = 0;
     std::uint32_t failed = 0;
     std::uint32_t answered = 0;
+    std::uint32_t cleared = 0;
+    std::uint8_t reason = 0;
+    std::uint64_t reporter = 0;
+    std::uint64_t zone = 0;
     std::int64_t age_ms = 0;
-    MSGPACK_DEFINE(endpoint, failed, answered, age_ms)
+    MSGPACK_DEFINE(endpoint, failed, answered, cleared, reason, reporter, zone,
+                   age_ms)
 };
 
 struct packed_beacon
@@ -189,8 +196,10 @@
     for (const auto& crash : beacon.crashes)
         packed.crashes.push_back(to_packed(crash));
     for (const auto& each : beacon.evidence)
-        packed.evidence.push_back(
-            {each.endpoint, each.failed, each.answered, each.age.count()});
+        packed.evidence.push_back({each.endpoint, each.failed, each.answered,
+                                   each.cleared,
+                                   static_cast<std::uint8_t>(each.reason),
+                                   each.reporter, each.zone, each.age.count()});
     return to_bytes(packed);
 }
 
@@ -238,6 +247,10 @@
         beacon.crashes.push_back(from_packed(crash));
     for (const auto& each : packed->evidence)
         beacon.evidence.push_back({each.endpoint, each.failed, each.answered,
+                                   each.cleared,
+                                   static_cast<core::peers::failure_kind>(
+                                       std::min(each.reason, last_reason)),
+                                   each.reporter, each.zone,
                                    core::milliseconds(std::clamp<std::int64_t>(
                                        each.age_ms, 0, longest_age.count()))});
     return beacon;
