--- a/source/peers/large_zone_messages.cpp
+++ b/source/peers/large_zone_messages.cpp
@@ -92,6 +92,7 @@
     std::erase_if(capacities,
                   [&](const auto& each) { return each.zone == own_zone; });
     beacon.scope = core::peers::beacon_scope::view;
+    beacon.evidence = this->evidence(beacon.scope);
     beacon.echoes.clear();
     beacon.loads.clear();
     beacon.next_within = std::max(beacon.next_within, this->view_interval);
@@ -151,6 +152,7 @@
         return;
     this->last_parts = now;
     part.scope = core::peers::beacon_scope::part;
+    part.evidence = this->evidence(part.scope);
     part.echoes.clear();
     part.backlogs.clear();
     auto own_zone = core::peers::capacity_key(this->identity.zone);
