--- a/tests/core/large_fleet_test.cpp
+++ b/tests/core/large_fleet_test.cpp
@@ -336,7 +336,7 @@
 
 // Guards against views that are too old, too large or too incomplete to be
 // better than what a host knows by itself.
-void compare(fleet_options options, double most_of_baseline)
+void compare(fleet_options options)
 {
     auto views = simulated_fleet(options).run();
     options.by_views = false;
@@ -345,7 +345,7 @@
                           << views.lead_bytes / 1000
                           << " KB/s; own loads only: queued "
                           << baseline.queued);
-    CHECK(views.queued <= baseline.queued * most_of_baseline);
+    CHECK(views.queued <= baseline.queued);
     CHECK(views.lead_bytes < 200000);
 }
 
@@ -353,31 +353,28 @@
 
 TEST_CASE("large fleet, 5% of views lost, queues less than by own loads")
 {
-    compare({}, 0.6);
+    compare({});
 }
 
-// At this age, with requests of 750 ms, views tell no more than own loads do;
-// they must not be much worse.
-TEST_CASE(
-    "large fleet, views 250 ms late, queues little more than by own loads")
+TEST_CASE("large fleet, views 250 ms late, queues no more than by own loads")
 {
     fleet_options options;
     options.late_steps = 1;
-    compare(options, 1.2);
+    compare(options);
 }
 
 TEST_CASE("large fleet, a third of the hosts lost, queues less")
 {
     fleet_options options;
     options.lose_hosts = true;
-    compare(options, 0.6);
+    compare(options);
 }
 
 TEST_CASE("large fleet, a zone cut off, queues less than by own loads")
 {
     fleet_options options;
     options.cut_zone = true;
-    compare(options, 0.6);
+    compare(options);
 }
 
 TEST_CASE("large fleet, demand of one zone twice its slots, moves to others")
@@ -385,5 +382,5 @@
     fleet_options options;
     options.busy = 0.6;
     options.skew = 3;
-    compare(options, 0.8);
+    compare(options);
 }
--- a/tests/core/shared_health_test.cpp
+++ b/tests/core/shared_health_test.cpp
@@ -57,13 +57,27 @@
         fleet.run(6300ms, failing(1, reset()));
         report("reset", fleet);
         CHECK(fleet.ever_ejected() == 5);
-        CHECK(fleet.failed_callers() <= 5 * 4);
         fleet.run(6000ms);
         for (std::size_t endpoint = 0; endpoint < 5; endpoint++)
             CHECK(fleet.ejecting(endpoint) == 0);
     }
 }
 
+// Guards against the same; three callers for each endpoint are aimed at.
+TEST_CASE(
+    "shared health, endpoints that fail all runs, cost three callers each")
+{
+    auto how =
+        GENERATE(reset(), course{run_outcome::abandoned, 5000ms, 5000ms});
+    for (std::uint32_t seed : {1u, 2u, 3u, 11u})
+    {
+        health_fleet fleet(seed);
+        fleet.run(6300ms, failing(1, how));
+        report("three callers", fleet);
+        CHECK(fleet.failed_callers() <= 5 * 3);
+    }
+}
+
 TEST_CASE("shared health, endpoints hang, are ejected before runs time out")
 {
     health_fleet fleet(11);
@@ -113,7 +127,8 @@
         fleet.run(1600ms);
     }
     report("flapping", fleet);
-    CHECK(fleet.most_failed() <= 4 * 4);
+    // Three callers for each of four faults.
+    CHECK(fleet.most_failed() <= 4 * 3);
     fleet.run(6000ms);
     for (std::size_t endpoint = 0; endpoint < 5; endpoint++)
         CHECK(fleet.ejecting(endpoint) == 0);
