--- a/source/core/endpoints/shared_health.cpp
+++ b/source/core/endpoints/shared_health.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <utility>
 
+#include "core/endpoints/report_time.hpp"
 #include "core/hash.hpp"
 
 namespace amaranthhatch::core::endpoints
@@ -28,18 +29,9 @@
 // Failures in sequence of one other host that count, so that a host with a
 // fault of its own ejects no endpoint for others.
 constexpr std::uint32_t counted_in_sequence = 2;
-// Failures that count in the first report of a host or zone.
-constexpr std::uint32_t counted_at_first = 3;
 // Answers of the own zone that outweigh failures that other zones see.
 constexpr std::uint32_t clean_answers = 2;
 constexpr milliseconds clean_time{4000};
-// Time after the last failure for which an endpoint's runs are reported.
-constexpr milliseconds memory{4000};
-// A report that has changed is sent for this long: in several beacons, in case
-// some are lost.
-constexpr milliseconds send_time{400};
-constexpr std::size_t most_reports = 32;
-constexpr std::size_t most_records = 4096;
 constexpr milliseconds first_pause{400};
 constexpr milliseconds last_pause{3200};
 constexpr std::uint32_t most_needed = 3;
@@ -84,11 +76,6 @@
     return hash(text, seed) & key_mask;
 }
 
-std::uint32_t increase(std::uint32_t from, std::uint32_t to)
-{
-    return to > from ? to - from : 0;
-}
-
 } // namespace
 
 double shared_health::score::at(instant now) const
@@ -184,7 +171,7 @@
     to.own.answered++;
     // Runs after the readmission tell the hosts that missed the trial.
     bool clears = trial || (started >= to.readmitted_at &&
-                            now - to.readmitted_at < memory);
+                            now - to.readmitted_at < report_time);
     to.own.cleared += clears ? 1 : 0;
     to.own.changed = now;
     this->apply(endpoint, to, this->own_reporter, this->own_zone,
@@ -339,89 +326,6 @@
     return change;
 }
 
-void shared_health::receive(const peers::beacon& message, instant now)
-{
-    bool of_zone = message.scope == peers::beacon_scope::zone;
-    auto sender_zone = zone_key(message.zone);
-    auto sender =
-        of_zone ? sender_zone : reporter_key(message.name, message.incarnation);
-    for (const auto& each : message.evidence)
-    {
-        auto reporter = each.reporter == 0 ? sender : each.reporter;
-        auto zone = each.zone == 0 ? sender_zone : each.zone;
-        bool own_echo =
-            reporter == this->own_reporter || reporter == this->own_zone;
-        auto found = this->records.find(each.endpoint);
-        bool useful = found != this->records.end() ||
-                      (each.failed > 0 && each.age < memory &&
-                       this->records.size() < most_records);
-        if (own_echo || !useful)
-            continue;
-        bool first = found == this->records.end();
-        auto& to = this->begin_record(each.endpoint, now);
-        auto [report_at, unknown] = to.reports.try_emplace(reporter);
-        auto& known = report_at->second;
-        counts added{increase(known.failed, each.failed),
-                     increase(known.answered, each.answered),
-                     increase(known.cleared, each.cleared)};
-        // Its counts may go back further than this host's record does.
-        if (unknown)
-            added.failed = std::min(added.failed, counted_at_first);
-        bool changed = added.failed + added.answered + added.cleared > 0;
-        static_cast<counts&>(known) = {each.failed, each.answered,
-                                       each.cleared};
-        known.zone = zone;
-        if (changed)
-            known.changed = now;
-        if (added.failed > 0)
-            to.reason = each.reason;
-        this->apply(each.endpoint, to, reporter, zone, added, now);
-        if (first)
-            to.last_failure = now - each.age;
-    }
-}
-
-std::vector<peers::endpoint_evidence>
-shared_health::evidence(peers::beacon_scope scope, instant now) const
-{
-    std::vector<peers::endpoint_evidence> out;
-    for (const auto& [endpoint, each] : this->records)
-    {
-        auto age = now - each.last_failure;
-        auto add =
-            [&](const report& of, std::uint64_t reporter, std::uint64_t zone)
-        {
-            bool any = of.failed + of.answered > 0;
-            if (any && now - of.changed < send_time &&
-                (age < memory || each.ejected ||
-                 now - each.readmitted_at < memory))
-                out.push_back({endpoint, of.failed, of.answered, of.cleared,
-                               each.reason, reporter, zone, age});
-        };
-        if (scope == peers::beacon_scope::host)
-            add(each.own, 0, 0);
-        if (scope == peers::beacon_scope::zone)
-            add(each.zone_sum, 0, 0);
-        if (scope == peers::beacon_scope::fleet)
-        {
-            add(each.own, 0, 0);
-            for (const auto& [reporter, report] : each.reports)
-                add(report, reporter, report.zone);
-        }
-    }
-    if (out.size() <= most_reports)
-        return out;
-    std::stable_sort(out.begin(), out.end(),
-                     [](const auto& left, const auto& right)
-                     {
-                         return left.cleared != right.cleared
-                                    ? left.cleared > right.cleared
-                                    : left.failed > right.failed;
-                     });
-    out.resize(most_reports);
-    return out;
-}
-
 bool shared_health::qualifies(const record& of, instant now) const
 {
     auto limit = this->threshold();
--- a/tests/core/shared_health_test.cpp
+++ b/tests/core/shared_health_test.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include "health_fleet.hpp"
+#include "peers/packing.hpp"
 
 using namespace amaranthhatch;
 using namespace std::chrono_literals;
@@ -194,3 +195,24 @@
     CHECK_FALSE(health.is_ejected(started_again));
     CHECK_FALSE(health.is_suspected(started_again, 10000ms));
 }
+
+// Evidence that loses a field on its way would clear or blame the wrong zone.
+TEST_CASE("shared health, evidence in a beacon, arrives as sent")
+{
+    core::peers::beacon sent;
+    sent.name = "other";
+    sent.evidence.push_back(
+        {7, 3, 5, 1, core::peers::failure_kind::stalled, 11, 13, 17ms});
+    auto received = peers::unpack_beacon(peers::pack(sent));
+    REQUIRE(received);
+    REQUIRE(received->evidence.size() == 1);
+    const auto& each = received->evidence[0];
+    CHECK(each.endpoint == 7);
+    CHECK(each.failed == 3);
+    CHECK(each.answered == 5);
+    CHECK(each.cleared == 1);
+    CHECK(each.reason == core::peers::failure_kind::stalled);
+    CHECK(each.reporter == 11);
+    CHECK(each.zone == 13);
+    CHECK(each.age == 17ms);
+}
