--- a/source/batches/item_scheduler.cpp
+++ b/source/batches/item_scheduler.cpp
@@ -51,8 +51,6 @@
 // beacons that come directly.
 constexpr core::milliseconds preempt_settle{100};
 constexpr core::milliseconds preempt_settle_by_lead{250};
-// Time in which the runs that all owners have started show in their loads.
-constexpr core::milliseconds own_view_time{100};
 
 } // namespace
 
@@ -147,7 +145,6 @@
     if (this->scheduling || this->stopped)
         return;
     this->scheduling = true;
-    this->runtime.endpoints().record_online(host::boot_now());
     this->preempt_runs();
     this->start_items();
     this->survey.look(host::boot_now());
@@ -359,20 +356,14 @@
 bool item_scheduler::may_start(std::string_view service, core::instant now)
 {
     const auto& peers = this->runtime.peers();
-    auto owners = this->placement.owner_count();
-    // An owner alone knows all runs of items as they are.
-    if (!peers.follows_lead() && owners <= 1)
+    if (!peers.follows_lead())
         return true;
-    // Where no lead sends views, loads that are this much older are a new view.
-    auto view = peers.follows_lead()
-                    ? peers.view_number()
-                    : static_cast<std::uint64_t>(now / own_view_time);
     auto& share = this->shares[std::string(service)];
-    if (share.is_new(view))
-        share.begin_view(view,
+    if (share.is_new(peers.view_number()))
+        share.begin_view(peers.view_number(),
                          this->runtime.endpoints().free_for_batch(
                              service, {reserved_slots, 1}, now),
-                         owners, host::uniform());
+                         this->placement.owner_count(), host::uniform());
     return share.may_start();
 }
 
@@ -410,12 +401,7 @@
     state.held_by = wait_reason::none;
     if (!this->may_start(service, now))
     {
-        // A lead's view without free slots has no shares either.
-        bool shared = this->runtime.peers().follows_lead() ||
-                      this->runtime.endpoints().free_for_batch(
-                          service, {reserved_slots, 1}, now) > 0;
-        this->survey.record_full(service, shared ? wait_reason::share_used
-                                                 : wait_reason::no_slot);
+        this->survey.record_full(service, wait_reason::share_used);
         return false;
     }
     bool late = model::chance_of(next.demand) == model::item_chance::late;
--- a/source/core/endpoints/endpoint_table.cpp
+++ b/source/core/endpoints/endpoint_table.cpp
@@ -40,10 +40,6 @@
 // their slots is free. In the age of a view, some 150 ms, a crest of requests
 // uses about that many.
 constexpr double least_free_share = 0.1;
-// Slots that online requests have left within this time aren't given to batch
-// requests. At a crest each is taken by the next request within some 100 ms,
-// and the batch request that got it is cut before its first event.
-constexpr milliseconds recent_online_time{300};
 // Endpoints that have said that they leave and are remembered: four times those
 // of the largest fleet, as each may be replaced a few times before the store
 // names the new ones. A mark takes some 150 bytes.
@@ -148,9 +144,8 @@
         auto peer_load = this->peer_hosts.load(record.id_hash);
         double online = record.online + peer_load.online;
         double batch = record.batch + peer_load.batch;
-        out.push_back({&record, online, online + batch,
-                       std::max(online, record.recent_online) + batch,
-                       this->distance(record)});
+        out.push_back(
+            {&record, online, online + batch, this->distance(record)});
     }
     return out;
 }
@@ -296,20 +291,6 @@
     return this->choice_of(chosen, service);
 }
 
-void endpoint_table::record_online(instant now)
-{
-    for (auto& [id, record] : this->records)
-    {
-        double online =
-            record.online + this->peer_hosts.load(record.id_hash).online;
-        bool expired = now - record.recent_online_at > recent_online_time;
-        if (online < record.recent_online && !expired)
-            continue;
-        record.recent_online = online;
-        record.recent_online_at = now;
-    }
-}
-
 double endpoint_table::usable_for_batch(const candidate& each,
                                         batch_allowance allowance)
 {
@@ -326,8 +307,7 @@
     auto from = this->without_ejected(this->all_candidates(service, {}, now));
     auto remote = this->take_remote(from, service, &allowance);
     for (const auto& each : from)
-        free += std::max(0.0,
-                         usable_for_batch(each, allowance) - each.recent_total);
+        free += std::max(0.0, usable_for_batch(each, allowance) - each.total);
     return free + remote.capacity.free_slots();
 }
 
@@ -355,12 +335,11 @@
         return {&trial->record->info, {}, false};
     from = this->without_ejected(std::move(from));
     auto remote = this->take_remote(from, service, &allowance);
-    std::erase_if(
-        from, [&](const candidate& each)
-        { return each.recent_total >= usable_for_batch(each, allowance); });
+    std::erase_if(from, [&](const candidate& each)
+                  { return each.total >= usable_for_batch(each, allowance); });
     const candidate* chosen = nullptr;
     if (this->peer_hosts.follows_lead() || !remote.capacity.empty())
-        chosen = draw(from, &candidate::recent_total, uniform);
+        chosen = draw(from, &candidate::total, uniform);
     if (chosen == nullptr && from.empty())
         chosen = remote.draw(uniform);
     std::uint64_t salt = static_cast<std::uint64_t>(uniform * 4294967296.0);
--- a/source/core/endpoints/endpoint_table.hpp
+++ b/source/core/endpoints/endpoint_table.hpp
@@ -128,14 +128,8 @@
                          std::span<const std::string> excluded, instant now,
                          double uniform, bool repeatable = false) const;
 
-    /// @brief Records how many online requests run at each endpoint; to be
-    /// called often by hosts that start batch requests.
-    void record_online(instant now);
-
     /// @brief Chooses the best endpoint with a free slot for a batch request.
     ///
-    /// A slot that an online request has left a moment ago isn't free for batch
-    /// requests, as the next online request takes it.
     choice choose_batch(std::string_view service, batch_allowance allowance,
                         instant now, double uniform) const;
 
@@ -220,9 +214,6 @@
         std::map<std::uint64_t, running_request> runs;
         std::uint32_t online = 0;
         std::uint32_t batch = 0;
-        /// The most online requests of all hosts in the last moments.
-        double recent_online = 0;
-        instant recent_online_at{};
         instant last_progress{};
         instant excluded_until{};
         instant last_failure{};
@@ -234,8 +225,6 @@
         const endpoint_record* record = nullptr;
         double online = 0;
         double total = 0;
-        /// As total, with the online requests of the last moments.
-        double recent_total = 0;
         int distance = 0;
     };
 
