--- a/source/peers/large_zone_messages.cpp
+++ b/source/peers/large_zone_messages.cpp
@@ -11,10 +11,10 @@
 namespace
 {
 
-// Bytes a second that a lead sends to its zone, and to the other zones. With 160
-// KB/s to the zone, which a target of 200 KB/s for each host would need, views
-// with evidence of endpoints came so seldom on 250 hosts before 130 endpoints
-// that a tenth of the worth was lost.
+// Bytes a second that a lead sends to its zone, and to the other zones. With
+// 160 KB/s to the zone, which a target of 200 KB/s for each host would need,
+// views with evidence of endpoints came so seldom on 250 hosts before 130
+// endpoints that a tenth of the worth was lost.
 constexpr std::size_t view_bytes_per_second = 2000000;
 constexpr std::size_t parts_bytes_per_second = 20000;
 // A view is sent no more often than this, which is the time in which an
