--- a/source/core/endpoints/shared_health.cpp
+++ b/source/core/endpoints/shared_health.cpp
@@ -195,6 +195,7 @@
     auto found = this->records.find(endpoint);
     if (found == this->records.end() || !found->second.ejected)
         return false;
+    found->second.own_trial_at = now;
     if (!found->second.overruled)
         this->changes.push_back(this->describe(
             endpoint, found->second, health_change::kind::on_trial, now));
@@ -418,6 +419,10 @@
         found->second.overruled)
         return false;
     const auto& each = found->second;
+    // The load doesn't bound an overdue trial, so that one pass over waiting
+    // items would send all of them to the endpoint.
+    if (now < each.own_trial_at + longest_load_wait)
+        return false;
     auto from = each.trial_at;
     if (work != trial_work::batch_item)
         from +=
--- a/source/core/endpoints/shared_health.hpp
+++ b/source/core/endpoints/shared_health.hpp
@@ -163,6 +163,8 @@
         bool zone_only = false;
         instant ejected_at{};
         instant trial_at{};
+        /// When this host last sent a trial.
+        instant own_trial_at{-record_time};
         instant readmitted_at{-record_time};
         milliseconds pause{};
         std::uint32_t ejections = 0;
