--- a/tests/core/shared_health_test.cpp
+++ b/tests/core/shared_health_test.cpp
@@ -231,3 +231,22 @@
     CHECK(each.zone == 13);
     CHECK(each.age == 17ms);
 }
+
+// Guards against all waiting items of a host that run as trials at once.
+TEST_CASE("shared health, overdue trial, one host sends one a second")
+{
+    using work = core::endpoints::shared_health::trial_work;
+    core::endpoints::shared_health health("self", 1, "zone");
+    auto failing_key = core::endpoints::shared_health::key("e", 1);
+    health.set_listed({{failing_key, "pool"}, {1, "pool"}});
+    for (int count = 0; count < 4; count++)
+        health.record_failure(failing_key, core::peers::failure_kind::broken,
+                              10000ms);
+    health.update(10000ms);
+    REQUIRE(health.is_ejected(failing_key));
+    REQUIRE(health.may_try(failing_key, work::batch_item, 3, 1, 13000ms));
+    health.record_begin(failing_key, 13000ms);
+    CHECK_FALSE(health.may_try(failing_key, work::batch_item, 3, 1, 13000ms));
+    CHECK_FALSE(health.may_try(failing_key, work::batch_item, 0, 1, 13900ms));
+    CHECK(health.may_try(failing_key, work::batch_item, 3, 1, 14000ms));
+}
